--- /dev/null
+++ b/cmd/pistachioctl/main.go
@@ -0,0 +1,4 @@
+// Command pistachioctl is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/pistachioford/main.go
@@ -0,0 +1,4 @@
+// Command pistachioford is the entry daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/control/event.go
@@ -0,0 +1,143 @@
+// Package control decides which document revision is active, which instances
+// are alive and which shards this instance holds.
+//
+// The Engine is a state machine without sockets, goroutines or a clock. One
+// goroutine of the daemon owns it.
+package control
+
+import (
+	"time"
+
+	"pistachioford.example/core/document"
+)
+
+// InstanceID names an entry instance; it is unique per process.
+type InstanceID string
+
+// OperationID matches an answer of the platform with its call.
+type OperationID uint64
+
+// Event is one input of the Engine.
+type Event interface{ event() }
+
+// MessageReceived is a message from a peer.
+type MessageReceived struct {
+	From    InstanceID
+	Message Message
+}
+
+// PlatformAnswered is the end of a platform call. Err is nil on success.
+type PlatformAnswered struct {
+	ID OperationID
+	// Rows answers a Read; a missing row has version 0.
+	Rows []Row
+	// Conflict is set when a condition of a Write did not hold.
+	Conflict bool
+	// Instances answers a ListInstances.
+	Instances []Listed
+	Err       error
+}
+
+// Row is a row of the table service.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// Listed is an entry of the platform's lagging instance list.
+type Listed struct {
+	ID      InstanceID
+	Address string
+	Zone    string
+	Role    string // "entry" or "upstream"
+	Leaving bool
+}
+
+// Leave starts the departure of this instance.
+type Leave struct{}
+
+// InFlight reports how many requests are in flight on this instance; a leaving
+// instance releases its shards at zero.
+type InFlight struct{ Requests int }
+
+func (MessageReceived) event()  {}
+func (PlatformAnswered) event() {}
+func (Leave) event()            {}
+func (InFlight) event()         {}
+
+// Action is one output of the Engine.
+type Action interface{ action() }
+
+// SendMessage sends a message to a peer; it may be lost.
+type SendMessage struct {
+	To      InstanceID
+	Address string
+	Message Message
+}
+
+// Read reads rows of the table service.
+type Read struct {
+	ID   OperationID
+	Keys []string
+}
+
+// Write writes one row if its version is still IfVersion (0: it must not exist).
+type Write struct {
+	ID        OperationID
+	Key       string
+	IfVersion uint64
+	Value     []byte
+}
+
+// ListInstances reads the platform's instance list.
+type ListInstances struct{ ID OperationID }
+
+// ActivateDocument hands a compiled document to the rest of the daemon.
+type ActivateDocument struct{ Document *document.Compiled }
+
+// HoldShards tells which shards this instance holds from now on.
+type HoldShards struct{ Held []HeldShard }
+
+// HeldShard is a shard lease with its fencing epoch.
+type HeldShard struct {
+	Shard   document.ShardID
+	Epoch   uint64
+	TakenAt time.Time
+}
+
+// ShowPeers replaces the list of live peers.
+type ShowPeers struct{ Peers []Peer }
+
+// Peer is a live peer.
+type Peer struct {
+	ID      InstanceID
+	Zone    string
+	Region  string
+	Address string // IP:port of the peer port
+	Caller  string // IP:port of the callers' port
+	Shards  []document.ShardID
+	Leaving bool
+	// Unreachable is set when the whole zone of the peer does not answer.
+	Unreachable bool
+	// Revision is the revision that the peer last said it has active.
+	Revision uint64
+}
+
+// Log is an event for the log.
+type Log struct {
+	Name   string
+	Fields []Field
+}
+
+// Field is one key=value pair.
+type Field struct{ Key, Value string }
+
+func (SendMessage) action()      {}
+func (Read) action()             {}
+func (Write) action()            {}
+func (ListInstances) action()    {}
+func (ActivateDocument) action() {}
+func (HoldShards) action()       {}
+func (ShowPeers) action()        {}
+func (Log) action()              {}
--- /dev/null
+++ b/core/traffic/doc.go
@@ -0,0 +1,8 @@
+// Package traffic decides what happens to each request: admission, the choice
+// of an upstream or of a peer instance, retries and the final outcome.
+//
+// The Engine is a state machine. It opens no sockets, starts no goroutines and
+// reads no clock: callers pass typed events and the time and carry out the
+// typed actions it returns. It is not safe for concurrent use; the daemon
+// guards it with a mutex.
+package traffic
--- /dev/null
+++ b/core/traffic/event.go
@@ -0,0 +1,198 @@
+package traffic
+
+import (
+	"time"
+
+	"pistachioford.example/core/document"
+)
+
+// RequestID identifies one request inside one instance.
+type RequestID uint64
+
+// Attempt numbers the exchanges of one request, from 1.
+type Attempt uint8
+
+// Event is one input of the Engine.
+type Event interface{ event() }
+
+// RequestArrived reports a request whose headers have been read. The body may
+// still be on its way.
+type RequestArrived struct {
+	ID      RequestID
+	Service document.ServiceID
+	// Key is the caller's idempotency key, empty if it sent none.
+	Key string
+	// Fingerprint identifies the content of the request, for key reuse and
+	// poison requests.
+	Fingerprint uint64
+	// BodyBytes is the declared length of the body, in bytes; -1 if unknown.
+	BodyBytes int64
+	// Replayable tells whether the body is held in memory and can be sent again.
+	Replayable bool
+	// Deadline is the time after which the caller no longer wants the answer;
+	// zero for the deadline of the service.
+	Deadline time.Time
+	// HomeRegion is the region that the caller's client block belongs to; work
+	// of another region counts as moved. Negative if unknown.
+	HomeRegion int
+	// Forwarded is set for a request that a peer instance forwarded.
+	Forwarded *Forwarded
+}
+
+// Forwarded describes the way of a request that came from a peer instance.
+type Forwarded struct {
+	From       InstanceID
+	FromRegion document.RegionID
+	// ToOwner is set when the peer forwarded the request because this instance
+	// owns its idempotency key; only such a request may be forwarded once more.
+	ToOwner bool
+}
+
+// RequestCanceled reports that the caller went away before it had its answer.
+type RequestCanceled struct{ ID RequestID }
+
+// ExchangeEnded reports the end of one attempt at an upstream or a peer.
+type ExchangeEnded struct {
+	ID      RequestID
+	Attempt Attempt
+	Result  Result
+	// Status is the HTTP status of a complete answer.
+	Status int
+	// Answer is an opaque handle of the adapter to the complete answer; the
+	// Engine keeps it only for replays by idempotency key.
+	Answer Answer
+	// Latency is the time from sending to the end of the exchange.
+	Latency time.Duration
+	// Leaving is set when the upstream announced that it is leaving.
+	Leaving bool
+}
+
+// AnswerStarted reports that an answer too large to be held began to arrive.
+// The Engine replies at once with the streamed answer; the slot stays busy and
+// the attempt is final until ExchangeEnded.
+type AnswerStarted struct {
+	ID      RequestID
+	Attempt Attempt
+	Status  int
+	Answer  Answer
+}
+
+// Answer is an answer held or streamed by the adapter.
+type Answer interface {
+	// Size is the length of the body in bytes.
+	Size() int
+}
+
+// Result classifies the end of an exchange.
+type Result uint8
+
+// Results of an exchange.
+const (
+	// Completed is a whole answer that is not a failure of the upstream.
+	Completed Result = iota
+	// Failed is a whole answer by which the upstream reports a failure of its
+	// own (5xx). The request may have run.
+	Failed
+	// Shed is an explicit refusal by the upstream or the peer: it did not run.
+	Shed
+	// NotSent means that no byte of the request left this instance.
+	NotSent
+	// Broken means that the connection broke after sending began. The request
+	// may have run; the upstream may have crashed.
+	Broken
+	// TimedOut means that the deadline of the attempt passed.
+	TimedOut
+	// UnknownAtPeer means that a peer answered "outcome unknown".
+	UnknownAtPeer
+	// CanceledByCaller means that the exchange ended because its caller left.
+	CanceledByCaller
+)
+
+// LoadReported is a load report of an upstream. It may lag or mislead.
+type LoadReported struct {
+	Target document.TargetID
+	// Utilization is the reported share of busy slots, 0 to 1.
+	Utilization float64
+	At          time.Time
+}
+
+// TargetLeaving is a sign, from any source, that an upstream is leaving.
+type TargetLeaving struct {
+	Target document.TargetID
+	// Seen is the time of the first sign at any instance.
+	Seen time.Time
+}
+
+// TargetBack reports that an upstream which was leaving is in service again.
+type TargetBack struct{ Target document.TargetID }
+
+// DocumentChanged puts a compiled document in force.
+type DocumentChanged struct{ Document *document.Compiled }
+
+// ShardsChanged tells which shards of its own zone this instance holds.
+type ShardsChanged struct{ Held []HeldShard }
+
+// HeldShard is one shard lease held by this instance.
+type HeldShard struct {
+	Shard document.ShardID
+	// TakenAt is when this instance became the holder; it remembers no key
+	// made before.
+	TakenAt time.Time
+}
+
+// InstanceID names an entry instance; it is unique per process.
+type InstanceID string
+
+// PeerInfo is what this instance knows of a live peer.
+type PeerInfo struct {
+	ID     InstanceID
+	Zone   document.ZoneID
+	Shards []document.ShardID
+	// Leaving peers get no new forwarded requests.
+	Leaving bool
+}
+
+// PeersChanged replaces the list of live peers.
+type PeersChanged struct{ Peers []PeerInfo }
+
+// PeerLoad is a peer's hint of the free slots it has for each group. The peer
+// decides on each forwarded request itself.
+type PeerLoad struct {
+	Peer InstanceID
+	At   time.Time
+	// Free holds the free slots by group, indexed by document.GroupID.
+	Free []uint16
+	// Wait holds the estimated wait for a slot by group.
+	Wait []time.Duration
+}
+
+// PoisonSuspected is a peer's report of a request that broke the connection of
+// an upstream.
+type PoisonSuspected struct {
+	Fingerprint uint64
+	Target      document.TargetID
+	At          time.Time
+}
+
+// BroadcastDone reports that the peers acknowledged a broadcast, or that its
+// time ran out.
+type BroadcastDone struct{ ID BroadcastID }
+
+// Draining tells the Engine that this instance is leaving: requests in flight
+// go on, and Idle turns true when the last has ended.
+type Draining struct{}
+
+func (RequestArrived) event()  {}
+func (RequestCanceled) event() {}
+func (ExchangeEnded) event()   {}
+func (AnswerStarted) event()   {}
+func (LoadReported) event()    {}
+func (TargetLeaving) event()   {}
+func (TargetBack) event()      {}
+func (DocumentChanged) event() {}
+func (ShardsChanged) event()   {}
+func (PeersChanged) event()    {}
+func (PeerLoad) event()        {}
+func (PoisonSuspected) event() {}
+func (BroadcastDone) event()   {}
+func (Draining) event()        {}
--- /dev/null
+++ b/core/traffic/reason.go
@@ -0,0 +1,76 @@
+package traffic
+
+// Reason names why a request was refused, retried or left unknown. Each has an
+// expvar counter in the daemon.
+type Reason uint8
+
+// Reasons of refusals, unknown outcomes, retries and ejections.
+const (
+	ReasonNone Reason = iota
+	// Refusals.
+	ReasonNoDocument
+	ReasonNoService
+	ReasonDeadline
+	ReasonQueueFull
+	ReasonNoTarget
+	ReasonNoShard
+	ReasonOwnerUnreachable
+	ReasonKeyMemoryFull
+	ReasonKeyExpired
+	ReasonKeyBeforeTakeover
+	ReasonKeyReused
+	ReasonBadKey
+	ReasonPoison
+	ReasonLinkBudget
+	ReasonShiftCap
+	ReasonShed
+	ReasonRetryBudget
+	ReasonAttempts
+	// Causes of unknown outcomes and of retries.
+	ReasonBroken
+	ReasonTimeout
+	ReasonNotSent
+	ReasonUpstreamError
+	ReasonPeerUnknown
+	// Causes of ejections.
+	ReasonErrors
+	ReasonLatency
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	ReasonNone:              "none",
+	ReasonNoDocument:        "no_document",
+	ReasonNoService:         "no_service",
+	ReasonDeadline:          "deadline",
+	ReasonQueueFull:         "queue_full",
+	ReasonNoTarget:          "no_target",
+	ReasonNoShard:           "no_shard",
+	ReasonOwnerUnreachable:  "owner_unreachable",
+	ReasonKeyMemoryFull:     "key_memory_full",
+	ReasonKeyExpired:        "key_expired",
+	ReasonKeyBeforeTakeover: "key_before_takeover",
+	ReasonKeyReused:         "key_reused",
+	ReasonBadKey:            "bad_key",
+	ReasonPoison:            "poison",
+	ReasonLinkBudget:        "link_budget",
+	ReasonShiftCap:          "shift_cap",
+	ReasonShed:              "shed",
+	ReasonRetryBudget:       "retry_budget",
+	ReasonAttempts:          "attempts",
+	ReasonBroken:            "broken",
+	ReasonTimeout:           "timeout",
+	ReasonNotSent:           "not_sent",
+	ReasonUpstreamError:     "upstream_error",
+	ReasonPeerUnknown:       "peer_unknown",
+	ReasonErrors:            "errors",
+	ReasonLatency:           "latency",
+}
+
+// String returns the name of the counter.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
