traffic: add revision, address, peer reason and release to the API

A request that was matched by the previous document would otherwise be steered to another service's group, and an exchange could go to a target of a newer document. The outcome of a peer needs its reason and whether it is a replay. Release tells the adapter when no exchange needs the body any more.

--- a/core/traffic/action.go
+++ b/core/traffic/action.go
@@ -16,6 +16,9 @@
 	ID       RequestID
 	Attempt  Attempt
 	Target   document.TargetID
+	// Address is the target's address in the document by which the Engine
+	// decided; the adapter's own document may already be a newer one.
+	Address  string
 	Deadline time.Time
 }
 
@@ -28,6 +31,9 @@
 	Deadline time.Time
 	// ToOwner is set when the peer owns the idempotency key.
 	ToOwner bool
+	// ShiftCharged is set when this instance counted the request against the
+	// shift cap of its region; the peer does not count it again.
+	ShiftCharged bool
 }
 
 // CancelExchange aborts an exchange; its connection must not be reused. The
@@ -52,6 +58,11 @@
 	RetryAfter time.Duration
 }
 
+// Release is the last action for a request: the Engine has forgotten it and no
+// exchange of it is in flight, so that the adapter may free the body. Exactly
+// one is returned for each RequestArrived, canceled ones included.
+type Release struct{ ID RequestID }
+
 // Outcome is what a caller is told.
 type Outcome uint8
 
@@ -104,6 +115,7 @@
 func (Forward) action()          {}
 func (CancelExchange) action()   {}
 func (Reply) action()            {}
+func (Release) action()          {}
 func (BroadcastPoison) action()  {}
 func (BroadcastLeaving) action() {}
 func (Count) action()            {}
--- a/core/traffic/event.go
+++ b/core/traffic/event.go
@@ -20,6 +20,9 @@
 type RequestArrived struct {
 	ID      RequestID
 	Service document.ServiceID
+	// Revision is the document revision that Service indexes; zero for the one
+	// in force. The Engine maps the service of the previous revision by name.
+	Revision uint64
 	// Key is the caller's idempotency key, empty if it sent none.
 	Key string
 	// Fingerprint identifies the content of the request, for key reuse and
@@ -46,6 +49,9 @@
 	// ToOwner is set when the peer forwarded the request because this instance
 	// owns its idempotency key; only such a request may be forwarded once more.
 	ToOwner bool
+	// ShiftCharged is set when an instance of this region already counted the
+	// request against the shift cap; it is copied from Forward.
+	ShiftCharged bool
 }
 
 // RequestCanceled reports that the caller went away before it had its answer.
@@ -65,6 +71,10 @@
 	Latency time.Duration
 	// Leaving is set when the upstream announced that it is leaving.
 	Leaving bool
+	// Reason is the peer's reason, for Shed and UnknownAtPeer.
+	Reason Reason
+	// Replayed is set when the peer returned a stored answer.
+	Replayed bool
 }
 
 // AnswerStarted reports that an answer too large to be held began to arrive.
@@ -106,6 +116,10 @@
 	UnknownAtPeer
 	// CanceledByCaller means that the exchange ended because its caller left.
 	CanceledByCaller
+	// KeyReusedAtPeer means that the key's owner knows another request by it.
+	KeyReusedAtPeer
+	// BadKeyAtPeer means that the key's owner found the key malformed.
+	BadKeyAtPeer
 )
 
 // LoadReported is a load report of an upstream. It may lag or mislead.
