--- a/core/traffic/action.go
+++ b/core/traffic/action.go
@@ -13,9 +13,9 @@
 // Send starts an exchange with an upstream. The adapter must not resend it by
 // itself and must report exactly one ExchangeEnded.
 type Send struct {
-	ID       RequestID
-	Attempt  Attempt
-	Target   document.TargetID
+	ID      RequestID
+	Attempt Attempt
+	Target  document.TargetID
 	// Address is the target's address in the document by which the Engine
 	// decided; the adapter's own document may already be a newer one.
 	Address  string
