traffic: decide admission, dispatch, forwarding, keys, retries and drains

The Engine keeps requests, services, groups and peers in tables. Runs is added to forwards and replies, so that the attempts of one request are counted across instances and an answer with a failure can be retried in another zone once all targets of this one were tried. Release and Load give adapters what they need to free bodies and to exchange hints.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// Empty tells whether no target is to be avoided.
+func (a *Avoid) Empty() bool { return a.count == 0 }
+
 func (a *Avoid) has(row Row) bool {
 	for _, other := range a.rows[:a.count] {
 		if other == row {
@@ -151,6 +154,17 @@
 	return int(g) < len(t.groups) && t.groups[g].recent > 2*t.groups[g].usual
 }
 
+// Untried tells whether the group has a usable target with owned slots, busy or
+// not, that is not to be avoided.
+func (t *Table) Untried(g document.GroupID, avoid *Avoid) bool {
+	for _, row := range t.rowsOf(g) {
+		if r := &t.targets[row]; r.usable() && r.owned > 0 && !avoid.has(row) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) rowsOf(g document.GroupID) []Row {
 	if int(g) >= len(t.groups) {
 		return nil
--- a/core/traffic/action.go
+++ b/core/traffic/action.go
@@ -34,6 +34,8 @@
 	// ShiftCharged is set when this instance counted the request against the
 	// shift cap of its region; the peer does not count it again.
 	ShiftCharged bool
+	// Runs is the number of attempts already made; the peer goes on counting.
+	Runs uint8
 }
 
 // CancelExchange aborts an exchange; its connection must not be reused. The
@@ -54,6 +56,8 @@
 	Answer Answer
 	// Replayed is set when Answer was kept for an idempotency key.
 	Replayed bool
+	// Runs is the number of attempts made, here and at peers.
+	Runs uint8
 	// RetryAfter is a hint for the caller, zero if none.
 	RetryAfter time.Duration
 }
--- a/core/traffic/engine.go
+++ b/core/traffic/engine.go
@@ -1,6 +1,13 @@
 package traffic
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/idempotency"
+	"pistachioford.example/core/route"
+)
 
 // Config identifies the instance to its Engine.
 type Config struct {
@@ -9,25 +16,87 @@
 	Region string
 	// Seed makes the random choices repeatable.
 	Seed uint64
+	// Keys bounds the memory of idempotency keys; zero for the default.
+	Keys idempotency.Limits
 }
 
 // Engine decides the path of each request.
 type Engine struct {
-	config  Config
-	actions []Action
+	config   Config
+	random   *rand.Rand
+	actions  []Action
+	doc      *document.Compiled
+	previous *document.Compiled
+	zone     document.ZoneID
+	region   document.RegionID
+	// located is false while the document does not list the instance's zone.
+	located  bool
+	draining bool
+
+	requests requestTable
+	timers   []int32 // requests in backoff or waiting for a broadcast
+	services serviceTable
+	groups   groupTable
+	held     []HeldShard
+	targets  *route.Table
+	peers    peerTable
+	links    linkTable
+	shifts   []shiftState // by service row and region
+	// shiftRegions is the number of regions in shifts.
+	shiftRegions int
+	keys         *idempotency.Memory
+	poison       *idempotency.Poison
+	broadcast    BroadcastID
 }
 
 // New returns an Engine without a document: it refuses every request.
 func New(config Config) *Engine {
-	return &Engine{config: config}
+	if config.Keys == (idempotency.Limits{}) {
+		config.Keys = idempotency.DefaultLimits
+	}
+	return &Engine{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, 1)),
+		requests: newRequestTable(),
+		targets:  route.New(config.Seed),
+		keys:     idempotency.NewMemory(config.Keys),
+		poison:   idempotency.NewPoison(),
+	}
 }
 
 // Handle takes one event and returns the actions it causes. The slice is valid
 // until the next call.
 func (e *Engine) Handle(now time.Time, ev Event) []Action {
 	e.actions = e.actions[:0]
-	if arrived, ok := ev.(RequestArrived); ok {
-		e.actions = append(e.actions, Reply{ID: arrived.ID, Outcome: NotRun, Reason: ReasonNoDocument})
+	switch ev := ev.(type) {
+	case RequestArrived:
+		e.arrive(now, &ev)
+	case RequestCanceled:
+		e.cancel(now, ev.ID)
+	case ExchangeEnded:
+		e.exchangeEnded(now, &ev)
+	case AnswerStarted:
+		e.answerStarted(now, &ev)
+	case LoadReported:
+		e.targets.Report(ev.Target, ev.Utilization, ev.At)
+	case TargetLeaving:
+		e.targetLeaving(ev)
+	case TargetBack:
+		e.targets.Return(now, ev.Target)
+	case DocumentChanged:
+		e.changeDocument(now, ev.Document)
+	case ShardsChanged:
+		e.changeShards(now, ev.Held)
+	case PeersChanged:
+		e.changePeers(ev.Peers)
+	case PeerLoad:
+		e.peers.takeLoad(ev)
+	case PoisonSuspected:
+		e.poisonReported(now, ev)
+	case BroadcastDone:
+		e.broadcastDone(now, ev.ID)
+	case Draining:
+		e.draining = true
 	}
 	return e.actions
 }
@@ -36,5 +105,52 @@
 // budgets. The daemon calls it every 10 ms.
 func (e *Engine) Tick(now time.Time) []Action {
 	e.actions = e.actions[:0]
+	e.countEjections(now)
+	e.runTimers(now)
+	for g := range e.groups.rows {
+		e.expireQueue(now, int32(g))
+		e.dispatch(now, int32(g))
+		e.forwardQueued(now, int32(g))
+	}
 	return e.actions
 }
+
+// Idle tells whether no request and no exchange is left; a leaving instance
+// then releases its shards.
+func (e *Engine) Idle() bool { return len(e.requests.byID) == 0 }
+
+// Requests returns the number of requests in the Engine.
+func (e *Engine) Requests() int { return len(e.requests.byID) }
+
+// Load returns the hint for peers: the free slots and the estimated wait of
+// each group, by document.GroupID. The daemon sends it every 200 ms.
+func (e *Engine) Load(now time.Time) PeerLoad {
+	load := PeerLoad{Peer: e.config.Self, At: now}
+	if e.doc == nil {
+		return load
+	}
+	load.Free = make([]uint16, len(e.doc.Groups))
+	load.Wait = make([]time.Duration, len(e.doc.Groups))
+	for g := range e.doc.Groups {
+		row := e.groups.byID[g]
+		load.Free[g] = e.freeFor(row)
+		load.Wait[g] = min(e.waitHere(row, document.Normal), maxWait)
+	}
+	return load
+}
+
+func (e *Engine) emit(a Action) { e.actions = append(e.actions, a) }
+
+func (e *Engine) count(kind CountKind, reason Reason) {
+	e.emit(Count{Kind: kind, Reason: reason})
+}
+
+func (e *Engine) countEjections(now time.Time) {
+	for _, ejected := range e.targets.Tick(now) {
+		reason := ReasonErrors
+		if ejected.Cause == route.Latency {
+			reason = ReasonLatency
+		}
+		e.count(CountEjection, reason)
+	}
+}
--- a/core/traffic/event.go
+++ b/core/traffic/event.go
@@ -52,6 +52,8 @@
 	// ShiftCharged is set when an instance of this region already counted the
 	// request against the shift cap; it is copied from Forward.
 	ShiftCharged bool
+	// Runs is the number of attempts made before, copied from Forward.
+	Runs uint8
 }
 
 // RequestCanceled reports that the caller went away before it had its answer.
@@ -75,6 +77,8 @@
 	Reason Reason
 	// Replayed is set when the peer returned a stored answer.
 	Replayed bool
+	// Runs is the peer's Reply.Runs; zero ends the request without a retry.
+	Runs uint8
 }
 
 // AnswerStarted reports that an answer too large to be held began to arrive.
--- /dev/null
+++ b/core/traffic/finish.go
@@ -0,0 +1,101 @@
+package traffic
+
+import "time"
+
+// ending is how a request ends.
+type ending struct {
+	outcome  Outcome
+	reason   Reason
+	answer   Answer
+	replayed bool
+}
+
+// endingOf is how a request ends if the exchange was its last.
+func endingOf(ev *ExchangeEnded) ending {
+	end := ending{reason: reasonOf(ev), answer: ev.Answer, replayed: ev.Replayed}
+	switch ev.Result {
+	case Completed, Failed:
+		end.outcome = Answered
+	case Shed, NotSent:
+		end.outcome = NotRun
+	case KeyReusedAtPeer:
+		end.outcome = KeyReused
+	case BadKeyAtPeer:
+		end.outcome = BadKey
+	default:
+		end.outcome = Unknown
+	}
+	return end
+}
+
+// reasonOf names why an exchange failed; a peer's own reason comes first.
+func reasonOf(ev *ExchangeEnded) Reason {
+	if ev.Reason != ReasonNone {
+		return ev.Reason
+	}
+	switch ev.Result {
+	case Failed:
+		return ReasonUpstreamError
+	case Shed:
+		return ReasonShed
+	case NotSent:
+		return ReasonNotSent
+	case Broken, CanceledByCaller:
+		return ReasonBroken
+	case TimedOut:
+		return ReasonTimeout
+	case UnknownAtPeer:
+		return ReasonPeerUnknown
+	case KeyReusedAtPeer:
+		return ReasonKeyReused
+	case BadKeyAtPeer:
+		return ReasonBadKey
+	default:
+		return ReasonNone
+	}
+}
+
+// refuse ends a request as "not run".
+func (e *Engine) refuse(now time.Time, row int32, reason Reason) {
+	e.finish(now, row, ending{outcome: NotRun, reason: reason})
+}
+
+// finish ends a request: its reply, its key's record, the copies that wait for
+// it, and its row.
+func (e *Engine) finish(now time.Time, row int32, end ending) {
+	r := &e.requests.rows[row]
+	if end.outcome == NotRun && r.ran {
+		end.outcome, end.reason = Unknown, r.ranReason
+	}
+	e.reply(r, end)
+	e.settleKey(now, row, end)
+	e.release(row)
+}
+
+// release forgets a request that nothing refers to any more.
+func (e *Engine) release(row int32) {
+	e.stopTimer(row)
+	id := e.requests.rows[row].id
+	e.requests.remove(row)
+	e.emit(Release{ID: id})
+}
+
+// reply answers the caller once, unless it went away.
+func (e *Engine) reply(r *request, end ending) {
+	if r.canceled || r.replied {
+		return
+	}
+	r.replied = true
+	reply := Reply{ID: r.id, Outcome: end.outcome, Replayed: end.replayed, Runs: r.runs}
+	if end.outcome == Answered {
+		reply.Answer = end.answer
+		e.emit(reply)
+		return
+	}
+	reply.Reason = end.reason
+	if end.outcome == NotRun {
+		reply.RetryAfter = retryAfter
+	}
+	e.emit(reply)
+	e.count(CountRefusal, end.reason)
+}
--- /dev/null
+++ b/core/traffic/group.go
@@ -0,0 +1,145 @@
+package traffic
+
+import (
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/limit"
+)
+
+// queueLimit bounds one queue; at 100 slots and 5 ms each it is a wait of 50 ms.
+const queueLimit = 1024
+
+// queue is a list of waiting requests, linked through the request table.
+type queue struct {
+	head, tail int32
+	length     int
+}
+
+// group is one row: the queues, shares, retry budget and measurements of a
+// document group. Rows stay valid when the document changes.
+type group struct {
+	name    string
+	id      document.GroupID
+	present bool
+	queues  [document.Priorities]queue
+	shares  limit.Scheduler
+	retries limit.RetryBudget
+	service estimate
+	shed    shedWindow
+}
+
+// groupTable holds the groups by name.
+type groupTable struct {
+	rows   []group
+	byName map[string]int32
+	byID   []int32 // row of each document.GroupID
+}
+
+func (t *groupTable) configure(doc *document.Compiled) {
+	if t.byName == nil {
+		t.byName = map[string]int32{}
+	}
+	for i := range t.rows {
+		t.rows[i].present = false
+	}
+	t.byID = t.byID[:0]
+	for id := range doc.Groups {
+		row := t.rowFor(doc.Groups[id].Name)
+		g := &t.rows[row]
+		g.id, g.present = document.GroupID(id), true
+		g.shares.Set(sharesOf(doc, g.id))
+		t.byID = append(t.byID, row)
+	}
+}
+
+func (t *groupTable) rowFor(name string) int32 {
+	if row, ok := t.byName[name]; ok {
+		return row
+	}
+	g := group{name: name, retries: limit.NewRetryBudget()}
+	for p := range g.queues {
+		g.queues[p] = queue{head: none, tail: none}
+	}
+	t.rows = append(t.rows, g)
+	row := int32(len(t.rows) - 1)
+	t.byName[name] = row
+	return row
+}
+
+// sharesOf adds up the guaranteed shares of a group's services by priority.
+func sharesOf(doc *document.Compiled, g document.GroupID) [document.Priorities]float64 {
+	var shares [document.Priorities]float64
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if s.Group == g {
+			shares[s.Priority] = min(1, shares[s.Priority]+s.Share)
+		}
+	}
+	return shares
+}
+
+// waiting is the number of requests queued in the group.
+func (g *group) waiting() int {
+	total := 0
+	for p := range g.queues {
+		total += g.queues[p].length
+	}
+	return total
+}
+
+func (g *group) waitingByPriority() limit.Waiting {
+	var w limit.Waiting
+	for p := range g.queues {
+		w[p] = g.queues[p].length > 0
+	}
+	return w
+}
+
+// enqueue appends a request to its group's queue.
+func (e *Engine) enqueue(row int32) {
+	r := &e.requests.rows[row]
+	q := &e.groups.rows[r.group].queues[r.priority]
+	r.state = stateQueued
+	r.prev, r.next = q.tail, none
+	if q.tail == none {
+		q.head = row
+	} else {
+		e.requests.rows[q.tail].next = row
+	}
+	q.tail = row
+	q.length++
+}
+
+// dequeue takes a request out of its queue, wherever it is.
+func (e *Engine) dequeue(row int32) {
+	r := &e.requests.rows[row]
+	q := &e.groups.rows[r.group].queues[r.priority]
+	if r.prev == none {
+		q.head = r.next
+	} else {
+		e.requests.rows[r.prev].next = r.next
+	}
+	if r.next == none {
+		q.tail = r.prev
+	} else {
+		e.requests.rows[r.next].prev = r.prev
+	}
+	q.length--
+	r.state, r.prev, r.next = stateNew, none, none
+}
+
+// expireQueue refuses the queued requests that cannot finish in time any more.
+func (e *Engine) expireQueue(now time.Time, g int32) {
+	for p := range e.groups.rows[g].queues {
+		row := e.groups.rows[g].queues[p].head
+		for row != none {
+			next := e.requests.rows[row].next
+			if !e.inTime(now, row, 0) {
+				e.dequeue(row)
+				e.refuse(now, row, ReasonDeadline)
+			}
+			row = next
+		}
+	}
+}
--- /dev/null
+++ b/core/traffic/peer.go
@@ -0,0 +1,178 @@
+package traffic
+
+import (
+	"time"
+
+	"pistachioford.example/core/document"
+)
+
+const (
+	// hintLifetime is 5 exchanges of hints; after it a peer's load is unknown.
+	hintLifetime = time.Second
+	// peerPause is how long a peer that could not be reached gets no work.
+	peerPause = time.Second
+	// shiftPause is how long a service is not forwarded to a region whose shift
+	// cap refused it.
+	shiftPause = 100 * time.Millisecond
+	// zoneRoundTrip and regionRoundTrip are usual round trips to a peer of the
+	// own zone and of another zone of the region.
+	zoneRoundTrip   = time.Millisecond
+	regionRoundTrip = 10 * time.Millisecond
+	// hintedWait is added to the hinted wait of a peer for each request
+	// forwarded on it, so that one hint does not draw all work.
+	hintedWait = 10 * time.Millisecond
+)
+
+// peer is one row: a live instance and its last hint.
+type peer struct {
+	id      InstanceID
+	zone    document.ZoneID
+	region  document.RegionID
+	holder  bool
+	leaving bool
+	trip    time.Duration // usual round trip
+	tier    int           // 0 own zone, 1 own region, then regions by delay
+
+	free   []uint16
+	wait   []time.Duration
+	hintAt time.Time
+	// pausedUntil is set after the peer could not be reached.
+	pausedUntil time.Time
+}
+
+// peerTable holds the live peers.
+type peerTable struct {
+	infos   []PeerInfo
+	rows    []peer
+	byID    map[InstanceID]int32
+	byShard map[document.ShardID]int32
+	tiers   int
+}
+
+// changePeers replaces the list of peers; hints of those that stay are kept.
+func (e *Engine) changePeers(infos []PeerInfo) {
+	old := e.peers
+	e.peers = peerTable{
+		infos:   append([]PeerInfo(nil), infos...),
+		byID:    make(map[InstanceID]int32, len(infos)),
+		byShard: make(map[document.ShardID]int32, len(infos)),
+	}
+	if e.doc == nil || !e.located {
+		return
+	}
+	tiers := e.tierByRegion()
+	for i := range infos {
+		e.addPeer(&infos[i], &old, tiers)
+	}
+	e.peers.tiers = len(e.doc.Regions) + 1
+}
+
+func (e *Engine) addPeer(info *PeerInfo, old *peerTable, tiers []int) {
+	if info.ID == e.config.Self || int(info.Zone) >= len(e.doc.Zones) {
+		return
+	}
+	p := peer{}
+	if row, ok := old.byID[info.ID]; ok {
+		p = old.rows[row]
+	}
+	p.id, p.zone, p.region = info.ID, info.Zone, e.doc.Zones[info.Zone].Region
+	p.holder, p.leaving = len(info.Shards) > 0, info.Leaving
+	p.tier, p.trip = e.distance(info.Zone, tiers)
+	row := int32(len(e.peers.rows))
+	e.peers.rows = append(e.peers.rows, p)
+	e.peers.byID[p.id] = row
+	for _, shard := range info.Shards {
+		e.peers.byShard[shard] = row
+	}
+}
+
+// tierByRegion ranks the regions by delay: the own region is 1.
+func (e *Engine) tierByRegion() []int {
+	tiers := make([]int, len(e.doc.Regions))
+	for a := range tiers {
+		tiers[a] = 1
+		for b := range tiers {
+			if a != int(e.region) && e.nearer(document.RegionID(b), document.RegionID(a)) {
+				tiers[a]++
+			}
+		}
+	}
+	return tiers
+}
+
+func (e *Engine) nearer(a, b document.RegionID) bool {
+	if a == e.region || b == e.region {
+		return a == e.region && b != e.region
+	}
+	da, db := e.delayTo(a), e.delayTo(b)
+	return da < db || da == db && a < b
+}
+
+// delayTo is the one-way delay to a region; without a link it has no end.
+func (e *Engine) delayTo(r document.RegionID) time.Duration {
+	if link := e.doc.LinkBetween(e.region, r); link != nil {
+		return link.Delay
+	}
+	return maxWait
+}
+
+func (e *Engine) distance(zone document.ZoneID, tiers []int) (tier int, trip time.Duration) {
+	region := e.doc.Zones[zone].Region
+	switch {
+	case zone == e.zone:
+		return 0, zoneRoundTrip
+	case region == e.region:
+		return 1, regionRoundTrip
+	default:
+		return tiers[region], 2 * e.delayTo(region)
+	}
+}
+
+// takeLoad takes a hint; an older one than the last is ignored.
+func (t *peerTable) takeLoad(load PeerLoad) {
+	row, ok := t.byID[load.Peer]
+	if !ok {
+		return
+	}
+	p := &t.rows[row]
+	if !load.At.After(p.hintAt) {
+		return
+	}
+	p.hintAt = load.At
+	p.free = append(p.free[:0], load.Free...)
+	p.wait = append(p.wait[:0], load.Wait...)
+}
+
+// expectedWait is the hinted wait at the peer, without the round trip; false
+// if nothing is known.
+func (p *peer) expectedWait(now time.Time, g document.GroupID) (time.Duration, bool) {
+	if now.Sub(p.hintAt) > hintLifetime || int(g) >= len(p.free) || int(g) >= len(p.wait) {
+		return 0, false
+	}
+	if p.free[g] > 0 {
+		return 0, true
+	}
+	return max(p.wait[g], time.Millisecond), true
+}
+
+// sent counts a forwarded request against the hint.
+func (p *peer) sent(g document.GroupID) {
+	if int(g) >= len(p.free) || int(g) >= len(p.wait) {
+		return
+	}
+	if p.free[g] > 0 {
+		p.free[g]--
+		return
+	}
+	p.wait[g] += hintedWait
+}
+
+// full notes that the peer has no free slots, until its next hint.
+func (p *peer) full(g document.GroupID) {
+	if int(g) < len(p.free) {
+		p.free[g] = 0
+	}
+	if int(g) < len(p.wait) {
+		p.wait[g] += hintedWait
+	}
+}
--- a/core/traffic/reason.go
+++ b/core/traffic/reason.go
@@ -32,6 +32,9 @@
 	ReasonNotSent
 	ReasonUpstreamError
 	ReasonPeerUnknown
+	// ReasonKeyUnknown means that an earlier request with the key may have run
+	// and that its answer is not kept.
+	ReasonKeyUnknown
 	// Causes of ejections.
 	ReasonErrors
 	ReasonLatency
@@ -63,6 +66,7 @@
 	ReasonNotSent:           "not_sent",
 	ReasonUpstreamError:     "upstream_error",
 	ReasonPeerUnknown:       "peer_unknown",
+	ReasonKeyUnknown:        "key_unknown",
 	ReasonErrors:            "errors",
 	ReasonLatency:           "latency",
 }
--- /dev/null
+++ b/core/traffic/service.go
@@ -0,0 +1,98 @@
+package traffic
+
+import (
+	"time"
+
+	"pistachioford.example/core/document"
+)
+
+// service is one row: a document service and what was measured of it. Rows
+// stay valid when the document changes.
+type service struct {
+	name        string
+	id          document.ServiceID
+	present     bool
+	group       int32
+	priority    document.Priority
+	deadline    time.Duration
+	idempotent  bool
+	answerBytes int64
+	// time measures how long a request of the service occupies a slot.
+	time estimate
+	// moves are the planned shifts out of this region.
+	moves []move
+}
+
+// move is a planned shift of a part of a service's work.
+type move struct {
+	to       document.RegionID
+	fraction float64
+}
+
+// serviceTable holds the services by name.
+type serviceTable struct {
+	rows   []service
+	byName map[string]int32
+	byID   []int32 // row of each document.ServiceID
+}
+
+func (t *serviceTable) configure(doc *document.Compiled, region document.RegionID, groups []int32) {
+	if t.byName == nil {
+		t.byName = map[string]int32{}
+	}
+	for i := range t.rows {
+		t.rows[i].present = false
+	}
+	t.byID = t.byID[:0]
+	for id := range doc.Services {
+		d := &doc.Services[id]
+		row := t.rowFor(d.Name)
+		s := &t.rows[row]
+		s.id, s.present = document.ServiceID(id), true
+		s.group, s.priority = groups[d.Group], d.Priority
+		s.deadline, s.idempotent, s.answerBytes = d.Deadline, d.Idempotent, d.AnswerBytes
+		s.moves = movesOf(doc, s.id, region)
+		t.byID = append(t.byID, row)
+	}
+}
+
+func (t *serviceTable) rowFor(name string) int32 {
+	if row, ok := t.byName[name]; ok {
+		return row
+	}
+	t.rows = append(t.rows, service{name: name})
+	row := int32(len(t.rows) - 1)
+	t.byName[name] = row
+	return row
+}
+
+func movesOf(doc *document.Compiled, id document.ServiceID, from document.RegionID) []move {
+	var moves []move
+	for i := range doc.Shifts {
+		s := &doc.Shifts[i]
+		if s.Service == id && s.From == from && s.Fraction > 0 {
+			moves = append(moves, move{to: s.To, fraction: s.Fraction})
+		}
+	}
+	return moves
+}
+
+// serviceRow finds the service that a request means. A service of the previous
+// document is found by its name, since the numbers may have changed.
+func (e *Engine) serviceRow(id document.ServiceID, revision uint64) (int32, bool) {
+	doc := e.doc
+	if revision != 0 && revision != doc.Revision {
+		if e.previous == nil || e.previous.Revision != revision {
+			return 0, false
+		}
+		doc = e.previous
+	}
+	if int(id) >= len(doc.Services) {
+		return 0, false
+	}
+	if doc == e.doc {
+		return e.services.byID[id], true
+	}
+	row, ok := e.services.byName[doc.Services[id].Name]
+	return row, ok && e.services.rows[row].present
+}
