--- /dev/null
+++ b/core/traffic/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package traffic
+
+const faultChecks = faultTotal / faultParts
