--- a/core/traffic/admission.go
+++ b/core/traffic/admission.go
@@ -101,6 +101,10 @@
 // place finds the way of a request: an own slot, a peer, or the queue.
 func (e *Engine) place(now time.Time, row int32) {
 	r := &e.requests.rows[row]
+	if !e.inTime(now, row, 0) {
+		e.refuse(now, row, ReasonDeadline)
+		return
+	}
 	bar := e.barredHere(now, r)
 	wait := maxWait
 	if bar == ReasonNone {
