--- /dev/null
+++ b/scenario/caller.go
@@ -0,0 +1,231 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/traffic"
+)
+
+const (
+	// avoidTime is how long callers skip an entry that did not answer.
+	avoidTime = 10 * time.Second
+	// maxResends is how often a caller sends a request that may be repeated.
+	maxResends = 2
+	// resendPause is the time before a caller repeats an unknown outcome.
+	resendPause = 500 * time.Millisecond
+	// patience is how much longer than the deadline a caller waits.
+	patience = 50 * time.Millisecond
+)
+
+// Load is work that callers offer.
+type Load struct {
+	Name    string
+	Service string
+	Zones   string  // where the callers are: a zone, a region or "all"
+	Rate    float64 // requests/s over all zones
+	From    time.Duration
+	To      time.Duration // zero: to the end
+	Bytes   int64         // length of the body
+	// Distinct is the number of different fingerprints; zero: each its own.
+	Distinct uint64
+	// Poison requests crash each upstream that runs them.
+	Poison bool
+	// Resends is how often callers repeat after any outcome but an answer.
+	Resends int
+	// Count ends the load after that many requests; zero: none.
+	Count int
+
+	service document.ServiceID
+	homes   []document.ZoneID
+	random  *rand.Rand
+	made    int
+}
+
+// request is what one caller wants to be done; it may be sent several times.
+type request struct {
+	id          uint64
+	load        *Load
+	home        document.ZoneID
+	key         string
+	fingerprint uint64
+	born        time.Time
+	deadline    time.Time
+	sent        int
+	runs        int
+	work        time.Duration // time of the last run
+	ended       bool
+	cancel      func()
+}
+
+// call is one submission of a request to an entry instance.
+type call struct {
+	world   *world
+	load    *Load
+	request *request
+	runs    int
+	toldNot bool
+	over    bool
+}
+
+func (c *call) service() *document.Service { return &c.world.doc.Services[c.load.service] }
+
+// start schedules the arrivals of a load.
+func (w *world) start(l *Load) {
+	l.random = rand.New(rand.NewPCG(w.settings.Seed, hashName(l.Name)))
+	w.clock.after(l.From, func() { w.offer(l) })
+}
+
+func (w *world) offer(l *Load) {
+	if (l.To > 0 && w.clock.since() >= l.To) || (l.Count > 0 && l.made >= l.Count) {
+		return
+	}
+	l.made++
+	w.submit(w.newRequest(l))
+	gap := l.random.ExpFloat64() / l.Rate * float64(time.Second)
+	w.clock.after(time.Duration(gap), func() { w.offer(l) })
+}
+
+func (w *world) newRequest(l *Load) *request {
+	w.lastRequest++
+	service := &w.doc.Services[l.service]
+	r := &request{
+		id: w.lastRequest, load: l, born: w.clock.now, deadline: w.clock.now.Add(service.Deadline),
+		home: l.homes[l.random.IntN(len(l.homes))], fingerprint: w.lastRequest, cancel: func() {},
+	}
+	if l.Distinct > 0 {
+		r.fingerprint = hashName(l.Name) + r.id%l.Distinct
+	}
+	if !service.Idempotent {
+		r.key = w.newKey(r, l)
+	}
+	w.stats.offered(r)
+	w.clock.after(service.Deadline+patience, func() {
+		if !r.ended {
+			r.cancel()
+			w.finish(r, late)
+		}
+	})
+	return r
+}
+
+// newKey uses the prefix that a look-up gives: the nearest zone with an entry.
+func (w *world) newKey(r *request, l *Load) string {
+	zone := r.home
+	if entry := w.entryFor(r); entry != nil {
+		zone = entry.zone
+	}
+	at := r.born.UnixMilli()
+	shard := l.random.IntN(int(w.doc.Zones[zone].Shards))
+	return fmt.Sprintf("%s.%d.%08x-%04x-7000-8000-%012x", w.doc.Zones[zone].Name, shard, at>>16, at&0xffff, r.id)
+}
+
+// entryFor chooses among the entries in the nearest place that has any.
+func (w *world) entryFor(r *request) *instance {
+	var nearest []*instance
+	distance := 3
+	for _, in := range w.instances {
+		if w.avoided(r.home, in) {
+			continue
+		}
+		d := w.distance(r.home, in.zone)
+		if d < distance {
+			distance, nearest = d, nil
+		}
+		if d == distance {
+			nearest = append(nearest, in)
+		}
+	}
+	if len(nearest) == 0 {
+		return nil
+	}
+	return nearest[r.load.random.IntN(len(nearest))]
+}
+
+func (w *world) avoided(home document.ZoneID, in *instance) bool {
+	return in.leaving || w.clock.now.Before(w.avoid[home][in.id])
+}
+
+// submit sends a request to an entry; one that does not answer is avoided.
+func (w *world) submit(r *request) {
+	if r.ended {
+		return
+	}
+	entry := w.entryFor(r)
+	if entry == nil {
+		w.finish(r, broken)
+		return
+	}
+	r.sent++
+	c := &call{world: w, load: r.load, request: r}
+	delay := w.network.toClient(r.home, entry.zone)
+	w.clock.after(delay, func() {
+		if r.ended {
+			return
+		}
+		if entry.alive {
+			w.enter(entry, c, delay)
+			return
+		}
+		pause := delay
+		if entry.silent {
+			pause = dialTimeout
+		}
+		w.avoid[r.home][entry.id] = w.clock.now.Add(avoidTime)
+		w.clock.after(pause, func() { w.submit(r) })
+	})
+}
+
+func (w *world) enter(entry *instance, c *call, delay time.Duration) {
+	reply := func(a traffic.Reply) { w.clock.after(delay, func() { w.receive(c, a) }) }
+	cut := func() {
+		w.check.cut(entry)
+		w.clock.after(delay, func() { w.repeat(c, broken, 0) })
+	}
+	id := entry.arrive(c, nil, c.request.deadline, reply, cut)
+	c.request.cancel = func() { w.clock.after(delay, func() { entry.handle(traffic.RequestCanceled{ID: id}) }) }
+}
+
+// receive takes a reply at the caller.
+func (w *world) receive(c *call, a traffic.Reply) {
+	w.check.told(c, a)
+	switch a.Outcome {
+	case traffic.Answered:
+		if a.Answer.(*answer).status < 500 {
+			w.finish(c.request, served)
+			return
+		}
+		w.repeat(c, failed, c.load.Resends)
+	case traffic.NotRun:
+		w.repeat(c, notRun, c.load.Resends)
+	default:
+		w.repeat(c, unknown, c.load.Resends)
+	}
+}
+
+// repeat sends the request again if its outcome is open and that is allowed;
+// keyed and idempotent requests may be sent again.
+func (w *world) repeat(c *call, outcome outcome, wanted int) {
+	r := c.request
+	if r.ended {
+		return
+	}
+	if outcome == broken || (outcome == unknown && r.key != "") {
+		wanted = max(wanted, maxResends)
+	}
+	if r.sent > wanted {
+		w.finish(r, outcome)
+		return
+	}
+	w.clock.after(resendPause, func() { w.submit(r) })
+}
+
+func (w *world) finish(r *request, o outcome) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	w.stats.finished(r, o)
+}
--- /dev/null
+++ b/scenario/instance.go
@@ -0,0 +1,346 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/traffic"
+)
+
+const (
+	tickInterval = 10 * time.Millisecond
+	loadInterval = 200 * time.Millisecond
+	// leaseGap is the tick gap after which an instance holds nothing.
+	leaseGap = 8 * time.Second
+)
+
+// Decider is what an instance runs: the traffic engine or the baseline.
+type Decider interface {
+	Handle(now time.Time, ev traffic.Event) []traffic.Action
+	Tick(now time.Time) []traffic.Action
+	Load(now time.Time) traffic.PeerLoad
+	Idle() bool
+}
+
+// instance is a fake daemon around a Decider.
+type instance struct {
+	world   *world
+	id      traffic.InstanceID
+	zone    document.ZoneID
+	decider Decider
+	shards  []traffic.HeldShard
+
+	alive    bool
+	silent   bool // its host is gone: connects get no answer
+	leaving  bool
+	pausedAt time.Time
+	backlog  []traffic.Event
+
+	lastID  traffic.RequestID
+	inbound map[traffic.RequestID]*inbound
+}
+
+// inbound is one request inside an instance.
+type inbound struct {
+	call      *call
+	replied   bool
+	reply     func(traffic.Reply)
+	broken    func()
+	exchanges []*exchange
+}
+
+// exchange is one attempt at an upstream or a peer.
+type exchange struct {
+	in       *instance
+	id       traffic.RequestID
+	attempt  traffic.Attempt
+	started  time.Time
+	deadline time.Time
+	ended    bool
+	abort    func()
+}
+
+// arrive takes a request and returns its number, by which it can be canceled.
+func (in *instance) arrive(c *call, from *traffic.Forwarded, deadline time.Time, reply func(traffic.Reply), broken func()) traffic.RequestID {
+	in.lastID++
+	in.inbound[in.lastID] = &inbound{call: c, reply: reply, broken: broken}
+	in.handle(traffic.RequestArrived{
+		ID: in.lastID, Service: c.load.service, Key: c.request.key, Fingerprint: c.request.fingerprint,
+		BodyBytes: c.load.Bytes, Replayable: c.load.Bytes <= 1<<20, Deadline: deadline,
+		HomeRegion: int(in.world.region(c.request.home)), Forwarded: from,
+	})
+	return in.lastID
+}
+
+// handle passes an event to the decider and carries out its actions.
+func (in *instance) handle(ev traffic.Event) {
+	if !in.alive {
+		return
+	}
+	if !in.pausedAt.IsZero() {
+		in.backlog = append(in.backlog, ev)
+		return
+	}
+	in.world.check.seen(ev)
+	ev, ok := in.world.settings.Fault.event(ev)
+	if ok {
+		in.execute(in.decider.Handle(in.world.clock.now, ev))
+	}
+}
+
+func (in *instance) tick() {
+	if in.alive && in.pausedAt.IsZero() {
+		in.execute(in.decider.Tick(in.world.clock.now))
+	}
+}
+
+func (in *instance) execute(actions []traffic.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case traffic.Send:
+			in.send(a)
+		case traffic.Forward:
+			in.forward(a)
+		case traffic.CancelExchange:
+			in.cancelExchange(a)
+		case traffic.Reply:
+			in.reply(a)
+		case traffic.Release:
+			in.releaseRequest(a)
+		case traffic.BroadcastPoison:
+			in.broadcastPoison(a)
+		case traffic.BroadcastLeaving:
+			in.broadcastLeaving(a)
+		case traffic.Count:
+			in.world.stats.count(in, a)
+		}
+	}
+}
+
+func (in *instance) open(id traffic.RequestID, attempt traffic.Attempt, deadline time.Time) *exchange {
+	now := in.world.clock.now
+	x := &exchange{in: in, id: id, attempt: attempt, started: now, deadline: deadline, abort: func() {}}
+	in.inbound[id].exchanges = append(in.inbound[id].exchanges, x)
+	in.world.clock.after(deadline.Sub(now), func() {
+		if !x.ended {
+			x.abort()
+			x.end(traffic.TimedOut, false, nil)
+		}
+	})
+	return x
+}
+
+// end reports the end of the exchange, once.
+func (x *exchange) end(result traffic.Result, leaving bool, a *answer) {
+	ended := traffic.ExchangeEnded{Result: result, Leaving: leaving}
+	if a != nil && (result == traffic.Completed || result == traffic.Failed) {
+		ended.Answer, ended.Status = a, a.status
+	}
+	x.report(ended)
+}
+
+func (x *exchange) report(ended traffic.ExchangeEnded) {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	ended.ID, ended.Attempt = x.id, x.attempt
+	ended.Latency = x.in.world.clock.now.Sub(x.started)
+	x.in.handle(ended)
+}
+
+// send opens an exchange with an upstream of the own zone.
+func (in *instance) send(a traffic.Send) {
+	w := in.world
+	u := w.upstreams[a.Target]
+	x := in.open(a.ID, a.Attempt, a.Deadline)
+	r := &run{exchange: x, call: in.inbound[a.ID].call}
+	w.stats.sent(r.call)
+	x.abort = func() { w.network.send(in.zone, u.zone, 0, func() { u.cancel(r) }) }
+	w.network.send(in.zone, u.zone, 0, func() {
+		if u.down {
+			w.network.send(u.zone, in.zone, 0, func() { x.end(traffic.NotSent, false, nil) })
+			return
+		}
+		u.arrive(r)
+	})
+}
+
+// forward opens an exchange with a peer. A connect that gets no answer fails
+// after dialTimeout; a later cut shows at the deadline only.
+func (in *instance) forward(a traffic.Forward) {
+	w := in.world
+	peer := w.byID[a.Peer]
+	x := in.open(a.ID, a.Attempt, a.Deadline)
+	c := in.inbound[a.ID].call
+	if w.network.link(in.zone, peer.zone).cut || peer.silent {
+		w.clock.after(dialTimeout, func() { x.end(traffic.NotSent, false, nil) })
+		return
+	}
+	from := &traffic.Forwarded{From: in.id, FromRegion: w.region(in.zone), ToOwner: a.ToOwner, ShiftCharged: a.ShiftCharged}
+	w.network.send(in.zone, peer.zone, max(c.load.Bytes, 0), func() {
+		if !peer.alive {
+			w.network.send(peer.zone, in.zone, 0, func() { x.end(traffic.NotSent, false, nil) })
+			return
+		}
+		if x.ended {
+			return
+		}
+		in.forwardTo(peer, x, c, from)
+	})
+}
+
+func (in *instance) forwardTo(peer *instance, x *exchange, c *call, from *traffic.Forwarded) {
+	w := in.world
+	reply := func(r traffic.Reply) {
+		w.network.send(peer.zone, in.zone, replyBytes(r), func() { x.report(peerResult(r)) })
+	}
+	broken := func() {
+		w.network.send(peer.zone, in.zone, 0, func() { x.end(traffic.Broken, false, nil) })
+	}
+	id := peer.arrive(c, from, x.deadline, reply, broken)
+	x.abort = func() {
+		w.network.send(in.zone, peer.zone, 0, func() { peer.handle(traffic.RequestCanceled{ID: id}) })
+	}
+}
+
+func replyBytes(r traffic.Reply) int64 {
+	if r.Answer == nil {
+		return 0
+	}
+	return int64(r.Answer.Size())
+}
+
+// peerResult is the end of an exchange with a peer that replied.
+func peerResult(r traffic.Reply) traffic.ExchangeEnded {
+	ended := traffic.ExchangeEnded{Reason: r.Reason, Replayed: r.Replayed}
+	switch r.Outcome {
+	case traffic.NotRun:
+		ended.Result = traffic.Shed
+	case traffic.Unknown:
+		ended.Result = traffic.UnknownAtPeer
+	case traffic.KeyReused:
+		ended.Result = traffic.KeyReusedAtPeer
+	case traffic.BadKey:
+		ended.Result = traffic.BadKeyAtPeer
+	case traffic.Answered:
+		a := r.Answer.(*answer)
+		ended.Answer, ended.Status = a, a.status
+		if a.status >= 500 {
+			ended.Result = traffic.Failed
+		}
+	}
+	return ended
+}
+
+func (in *instance) cancelExchange(a traffic.CancelExchange) {
+	for _, x := range in.inbound[a.ID].exchanges {
+		if x.attempt == a.Attempt && !x.ended {
+			x.abort()
+			in.world.clock.after(0, func() { x.end(traffic.CanceledByCaller, false, nil) })
+		}
+	}
+}
+
+func (in *instance) reply(a traffic.Reply) {
+	request, ok := in.inbound[a.ID]
+	if !ok || request.replied {
+		in.world.check.failf(checkReply, "%s replies again to request %d", in.id, a.ID)
+		return
+	}
+	request.replied = true
+	request.reply(in.world.settings.Fault.reply(in, a))
+}
+
+func (in *instance) releaseRequest(a traffic.Release) {
+	if _, ok := in.inbound[a.ID]; !ok {
+		in.world.check.failf(checkReply, "%s releases request %d again", in.id, a.ID)
+	}
+	delete(in.inbound, a.ID)
+}
+
+func (in *instance) broadcastLeaving(a traffic.BroadcastLeaving) {
+	for _, peer := range in.world.instancesIn(in.zone) {
+		if peer != in {
+			in.world.network.send(in.zone, peer.zone, 0, func() { peer.handle(a.Leaving) })
+		}
+	}
+}
+
+// broadcastPoison tells the region's instances and waits for all, up to the
+// timeout.
+func (in *instance) broadcastPoison(a traffic.BroadcastPoison) {
+	w := in.world
+	waiting := 0
+	done := func() {
+		if waiting == 0 {
+			waiting = -1
+			in.handle(traffic.BroadcastDone{ID: a.ID})
+		}
+	}
+	for _, peer := range w.instances {
+		if peer == in || w.region(peer.zone) != w.region(in.zone) || !peer.alive {
+			continue
+		}
+		waiting++
+		w.network.send(in.zone, peer.zone, 0, func() {
+			peer.handle(a.Suspect)
+			w.network.send(peer.zone, in.zone, 0, func() { waiting--; done() })
+		})
+	}
+	w.clock.after(a.Timeout, func() {
+		if waiting > 0 {
+			waiting = 0
+			done()
+		}
+	})
+	w.clock.after(0, done)
+}
+
+// kill ends the process at once. With a silent host nobody is told.
+func (in *instance) kill(silent bool) {
+	in.alive, in.silent, in.pausedAt = false, silent, time.Time{}
+	for _, id := range in.requests() {
+		request := in.inbound[id]
+		for _, x := range request.exchanges {
+			if !x.ended {
+				x.ended = true
+				x.abort()
+			}
+		}
+		if !silent && !request.replied {
+			request.broken()
+		}
+	}
+	in.inbound = map[traffic.RequestID]*inbound{}
+}
+
+// requests lists the requests in a fixed order.
+func (in *instance) requests() []traffic.RequestID {
+	ids := make([]traffic.RequestID, 0, len(in.inbound))
+	for id := range in.inbound {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// resume ends a pause: what arrived meanwhile is handled now. After a gap
+// beyond the lease the instance holds nothing until it is confirmed.
+func (in *instance) resume() {
+	if !in.alive {
+		return
+	}
+	gap := in.world.clock.now.Sub(in.pausedAt)
+	in.pausedAt = time.Time{}
+	if gap > leaseGap {
+		in.handle(traffic.ShardsChanged{})
+		in.world.clock.after(time.Second, func() { in.handle(traffic.ShardsChanged{Held: in.shards}) })
+	}
+	backlog := in.backlog
+	in.backlog = nil
+	for _, ev := range backlog {
+		in.handle(ev)
+	}
+}
