--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -74,7 +74,11 @@
 	if r.failures >= max(ejectErrors, t.failuresBeside(g, row)+ejectErrorsAbove) {
 		return Errors, true
 	}
-	bound := max(ejectLatencyRatio*g.median, g.median+float64(ejectLatencyAbove))
+	ratio := float64(ejectLatencyRatio)
+	if !r.coldSince.IsZero() {
+		ratio = ejectColdRatio
+	}
+	bound := max(ratio*g.median, g.median+float64(ejectLatencyAbove))
 	return Latency, g.median > 0 && r.latency > bound
 }
 
--- a/core/route/limits.go
+++ b/core/route/limits.go
@@ -12,6 +12,11 @@
 	// while a target that fails 1 in 5 at random stays 6 deviations below it;
 	// with 0.1 some of 10 such targets were ejected within 20,000 requests.
 	errorWeight = 0.05
+	// refusedWeight ejects a target that refuses connections after 4 of them;
+	// refusals come at once and tell more than a failed answer.
+	refusedWeight = 0.2
+	// refusedSamples lets them count before the target has answered at all.
+	refusedSamples = 2
 	// errorPenalty makes a target that always fails 9 times less attractive, so
 	// that its short answers do not draw work.
 	errorPenalty = 8
@@ -32,6 +37,9 @@
 	ejectLatencyRatio = 3
 	// ejectLatencyAbove keeps jitter of very short answers from ejecting.
 	ejectLatencyAbove = 5 * time.Millisecond
+	// ejectColdRatio is the ratio for a cold target, whose caches are filling; with
+	// the usual one returning targets were ejected again and again.
+	ejectColdRatio = 6
 	// ejectSamples is the least number of answers that judge a target.
 	ejectSamples = 8
 	// ejectBase is the first ejection; each further one doubles up to ejectMax.
--- a/core/route/measure.go
+++ b/core/route/measure.go
@@ -15,6 +15,8 @@
 	Success Outcome = iota
 	// Failure is an answer or an end by the target's fault.
 	Failure
+	// Refused is a connection that was refused: no process listens.
+	Refused
 	// Shed is a refusal by an overloaded target.
 	Shed
 	// Crash is a broken connection whose cause may be the request. It is a
@@ -59,15 +61,18 @@
 	case Success:
 		t.succeeded(now, r, float64(latency))
 	case Failure:
-		r.failed()
-		if float64(latency) > r.latency {
+		r.failed(errorWeight)
+		if g := &t.groups[r.group]; g.median > 0 && float64(latency) > max(r.latency, g.median) {
 			t.measure(now, r, float64(latency))
 		}
+	case Refused:
+		r.failed(refusedWeight)
+		r.samples += refusedSamples - 1
 	case Crash:
 		if !r.crashed {
 			r.crashed, r.beforeCrash = true, r.failures
 		}
-		r.failed()
+		r.failed(errorWeight)
 	case Shed:
 		r.sheds += errorWeight * (1 - r.sheds)
 	}
@@ -96,9 +101,9 @@
 	g.usual = average(g.usual, latency, latencyWeight/50)
 }
 
-func (r *target) failed() {
+func (r *target) failed(weight float64) {
 	r.samples++
-	r.failures += errorWeight * (1 - r.failures)
+	r.failures += weight * (1 - r.failures)
 }
 
 // average moves towards a sample; the first sample is taken as it is.
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -60,6 +60,7 @@
 		"slow but reports idle": {Success, 80 * time.Millisecond},
 		"fails at once":         {Failure, time.Millisecond},
 		"sheds at once":         {Shed, time.Millisecond},
+		"refuses connections":   {Refused, time.Millisecond},
 		"hangs until timeout":   {Failure, 2 * time.Second},
 	}
 	for name, c := range cases {
@@ -220,6 +221,21 @@
 	is.True(table.targets[0].failures <= before)
 }
 
+// Guards against quick failures that count as short latencies, by which the
+// healthy targets were ejected after two others had crashed.
+func TestQuickFailuresEjectNoHealthyTarget(t *testing.T) {
+	is := is.New(t)
+	table, _ := fleet(4)
+	run(table, start, 6000, func(row Row) (Outcome, time.Duration) {
+		if row < 2 {
+			return Failure, 100 * time.Microsecond
+		}
+		return healthy(row)
+	})
+	is.True(table.targets[2].ejectedAt.IsZero())
+	is.True(table.targets[3].ejectedAt.IsZero())
+}
+
 // BenchmarkRoute measures one decision with its start and end. The case of 120
 // targets in each zone is the worst one, since only the own zone is searched.
 func BenchmarkRoute(b *testing.B) {
