--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -68,7 +68,9 @@
 			return route.Failure
 		}
 		return route.Crash
-	case Failed, NotSent, TimedOut:
+	case NotSent:
+		return route.Refused
+	case Failed, TimedOut:
 		return route.Failure
 	default:
 		return route.Neutral
