--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -16,6 +16,9 @@
 	maxResends = 2
 	// resendPause is the time before a caller repeats an unknown outcome.
 	resendPause = 500 * time.Millisecond
+	// prefixAge is how long a shard must be held before look-ups name it; it
+	// exceeds the clock margin of the keys.
+	prefixAge = 3 * time.Second
 	// patience is how much longer than the deadline a caller waits.
 	patience = 50 * time.Millisecond
 )
@@ -111,17 +114,34 @@
 	return r
 }
 
-// newKey uses the prefix that a look-up gives: the nearest zone with an entry.
+// newKey uses a prefix as a look-up gives it.
 func (w *world) newKey(r *request, l *Load) string {
 	zone := r.home
 	if entry := w.entryFor(r); entry != nil {
 		zone = entry.zone
 	}
 	at := r.born.UnixMilli()
-	shard := l.random.IntN(int(w.doc.Zones[zone].Shards))
+	shard := w.prefixShard(zone, l.random)
 	return fmt.Sprintf("%s.%d.%08x-%04x-7000-8000-%012x", w.doc.Zones[zone].Name, shard, at>>16, at&0xffff, r.id)
 }
 
+// prefixShard draws a shard of the zone whose holder is in service and has held
+// it long enough to know all new keys; any if there is none.
+func (w *world) prefixShard(zone document.ZoneID, random *rand.Rand) uint16 {
+	var known []uint16
+	for _, in := range w.instancesIn(zone) {
+		for _, held := range in.shards {
+			if !w.avoided(zone, in) && w.now.Sub(held.TakenAt) > prefixAge {
+				known = append(known, held.Shard.Index)
+			}
+		}
+	}
+	if len(known) == 0 {
+		return uint16(random.IntN(int(w.doc.Zones[zone].Shards)))
+	}
+	return known[random.IntN(len(known))]
+}
+
 // entryFor chooses among the entries in the nearest place that has any.
 func (w *world) entryFor(r *request) *instance {
 	var nearest []*instance
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -38,7 +38,6 @@
 	violations map[check]int
 	moved      map[moveKey]*moves
 	links      [][]level
-	peak       int
 }
 
 type moveKey struct {
--- a/scenario/events.go
+++ b/scenario/events.go
@@ -189,8 +189,7 @@
 
 func (w *world) pause(in *instance) {
 	in.pausedAt = w.now
-	w.publish(deadInZone, int(in.zone))
-	w.publish(deadEverywhere, -1)
+	w.lost(in)
 }
 
 func (w *world) resume(in *instance) {
--- a/scenario/instance.go
+++ b/scenario/instance.go
@@ -178,7 +178,7 @@
 		w.clock.after(dialTimeout, func() { x.end(traffic.NotSent, false, nil) })
 		return
 	}
-	from := &traffic.Forwarded{From: in.id, FromRegion: w.region(in.zone), ToOwner: a.ToOwner, ShiftCharged: a.ShiftCharged}
+	from := &traffic.Forwarded{From: in.id, FromRegion: w.region(in.zone), ToOwner: a.ToOwner, ShiftCharged: a.ShiftCharged, Runs: a.Runs}
 	w.network.send(in.zone, peer.zone, max(c.load.Bytes, 0), func() {
 		if !peer.alive {
 			w.network.send(peer.zone, in.zone, 0, func() { x.end(traffic.NotSent, false, nil) })
@@ -214,7 +214,7 @@
 
 // peerResult is the end of an exchange with a peer that replied.
 func peerResult(r traffic.Reply) traffic.ExchangeEnded {
-	ended := traffic.ExchangeEnded{Reason: r.Reason, Replayed: r.Replayed}
+	ended := traffic.ExchangeEnded{Reason: r.Reason, Replayed: r.Replayed, Runs: r.Runs}
 	switch r.Outcome {
 	case traffic.NotRun:
 		ended.Result = traffic.Shed
--- a/scenario/platform.go
+++ b/scenario/platform.go
@@ -171,15 +171,6 @@
 	return 0, false
 }
 
-func (p *Platform) group(name string) (document.GroupID, bool) {
-	for i := range p.Document.Groups {
-		if p.Document.Groups[i].Name == name {
-			return document.GroupID(i), true
-		}
-	}
-	return 0, false
-}
-
 // zones returns the zones that a name selects: a zone, a region, or "all".
 func (p *Platform) zones(name string) []document.ZoneID {
 	var ids []document.ZoneID
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -27,7 +28,7 @@
 // Document is the line "document USER"; it comes first.
 func (s *Script) Document(args []string) error {
 	if len(args) != 1 || NewPlatform(args[0]) == nil {
-		return fmt.Errorf("usage: document kolebe|ceiba")
+		return errors.New("usage: document kolebe|ceiba")
 	}
 	s.settings.Platform = NewPlatform(args[0])
 	return nil
@@ -48,7 +49,7 @@
 // Shift is the line "shift SERVICE cap=N start=N ramp=D" for all regions.
 func (s *Script) Shift(args []string) error {
 	if len(args) < 1 || s.settings.Platform == nil {
-		return fmt.Errorf("usage: shift SERVICE cap=N start=N ramp=D")
+		return errors.New("usage: shift SERVICE cap=N start=N ramp=D")
 	}
 	id, ok := s.settings.Platform.service(args[0])
 	if !ok {
@@ -85,7 +86,7 @@
 // [bytes=N] [distinct=N] [count=N] [resends=N] [poison=true]".
 func (s *Script) Load(args []string) error {
 	if len(args) < 2 || s.settings.Platform == nil {
-		return fmt.Errorf("usage: load NAME service=S rate=N ...")
+		return errors.New("usage: load NAME service=S rate=N")
 	}
 	l := &Load{Name: args[0], Zones: "all"}
 	err := options(args[1:], map[string]func(string) error{
@@ -118,7 +119,7 @@
 // At is the line "at TIME VERB ARGUMENTS [for DURATION]".
 func (s *Script) At(args []string) error {
 	if len(args) < 2 || s.settings.Platform == nil {
-		return fmt.Errorf("usage: at TIME VERB ...")
+		return errors.New("usage: at TIME VERB")
 	}
 	at, err := time.ParseDuration(args[0])
 	if err != nil {
@@ -133,7 +134,7 @@
 // [decider=baseline]"; it returns the event log.
 func (s *Script) Run(args []string) (string, error) {
 	if len(args) < 2 || s.settings.Platform == nil {
-		return "", fmt.Errorf("usage: run NAME DURATION ...")
+		return "", errors.New("usage: run NAME DURATION")
 	}
 	settings := s.settings
 	var err error
@@ -166,36 +167,37 @@
 }
 
 // Expect is the line "expect RUN METRIC SELECTION FROM..TO OP NUMBER
-// [x RUN METRIC SELECTION FROM..TO]".
-func (s *Script) Expect(args []string) error {
+// [x RUN METRIC SELECTION FROM..TO]"; it returns both sides.
+func (s *Script) Expect(args []string) (string, error) {
 	if len(args) != 6 && (len(args) != 11 || args[6] != "x") {
-		return fmt.Errorf("usage: expect RUN METRIC SELECTION FROM..TO OP NUMBER [x RUN METRIC SELECTION FROM..TO]")
+		return "", errors.New("usage: expect RUN METRIC SELECTION FROM..TO OP NUMBER [x RUN METRIC SELECTION FROM..TO]")
 	}
 	got, err := s.measure(args[:4])
 	if err != nil {
-		return err
+		return "", err
 	}
 	want, err := number(args[5])
 	if err != nil {
-		return err
+		return "", err
 	}
 	if len(args) == 11 {
 		other, err := s.measure(args[7:])
 		if err != nil {
-			return err
+			return "", err
 		}
 		want *= other
 	}
+	sides := fmt.Sprintf("%.6g %s %.6g", got, args[4], want)
 	if !compare(got, args[4], want) {
-		return fmt.Errorf("expected %s %.6g, got %.6g", args[4], want, got)
+		return sides, fmt.Errorf("does not hold: %s", sides)
 	}
-	return nil
+	return sides, nil
 }
 
 // Violated is the line "violated RUN CHECK": the run broke the invariant.
 func (s *Script) Violated(args []string) error {
 	if len(args) != 2 || s.results[args[0]] == nil {
-		return fmt.Errorf("usage: violated RUN CHECK")
+		return errors.New("usage: violated RUN CHECK")
 	}
 	if s.results[args[0]].Violations[check(args[1])] == 0 {
 		return fmt.Errorf("%s was not violated", args[1])
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -35,6 +35,14 @@
 	}
 }
 
+func expectLine(ts *testscript.TestScript, _ bool, args []string) {
+	sides, err := script(ts).Expect(args)
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	ts.Logf("%s", sides)
+}
+
 // TestScripts runs each scenario of testdata; see README.md for the language.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -52,7 +60,7 @@
 			"load":     line((*Script).Load),
 			"at":       line((*Script).At),
 			"run":      runLine,
-			"expect":   line((*Script).Expect),
+			"expect":   expectLine,
 			"violated": line((*Script).Violated),
 		},
 	})
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -196,11 +196,11 @@
 
 // takeOver gives the shards of a dead instance to one of its zone.
 func (w *world) takeOver(dead *instance) {
-	if dead.alive || len(dead.shards) == 0 {
+	if (dead.alive && dead.pausedAt.IsZero()) || len(dead.shards) == 0 {
 		return
 	}
 	for _, in := range w.instancesIn(dead.zone) {
-		if !in.alive || in.leaving {
+		if in == dead || in.leaving || !in.pausedAt.IsZero() {
 			continue
 		}
 		for _, held := range dead.shards {
