--- a/core/traffic/admission.go
+++ b/core/traffic/admission.go
@@ -146,6 +146,8 @@
 	switch {
 	case !e.inTime(now, row, wait):
 		return ReasonDeadline
+	case r.forwarded && r.origin != e.region && wait > e.movedWait(r):
+		return ReasonShed
 	case e.groups.rows[r.group].queues[r.priority].length >= queueLimit:
 		return ReasonQueueFull
 	default:
@@ -153,6 +155,14 @@
 	}
 }
 
+// movedWait is how long work forwarded from another region may wait here: one
+// usual exchange. With longer queues of it the region's own callers wait too,
+// and a decision made elsewhere overloads this region. Callers that come here
+// themselves may have no other region left, so they wait as usual.
+func (e *Engine) movedWait(r *request) time.Duration {
+	return time.Duration(e.groups.rows[r.group].service.meanOr(usualService))
+}
+
 // explain prefers the reason of what stood in the way of a request that this
 // instance could not have run anyhow.
 func (e *Engine) explain(r *request, bar Reason, linkFull bool) Reason {
