--- a/core/document/section.go
+++ b/core/document/section.go
@@ -1,5 +1,11 @@
 package document
 
+import (
+	"crypto/sha256"
+
+	"pistachioford.example/core/toml"
+)
+
 // Section is the text of one TOML file, owned by one team. A document is the
 // union of its sections.
 type Section struct {
@@ -20,3 +26,41 @@
 	}
 	return s.Name
 }
+
+// Errors are all errors of a document, ordered by file and line.
+type Errors = toml.Errors
+
+// Index tells operators' tools where things are defined. Instances do not need
+// it.
+type Index struct {
+	Teams   []Team
+	Targets []Origin
+	// Blocks is the source of the client blocks; it is nil if the document has
+	// none.
+	Blocks *Blocks
+}
+
+// Team owns sections.
+type Team struct {
+	Name string
+	// TokenHash is the SHA-256 hash of the team's token.
+	TokenHash [sha256.Size]byte
+}
+
+// Origin is the place of a definition.
+type Origin struct {
+	Name    string
+	Section string
+	Line    int
+}
+
+// Blocks tells where the client blocks come from.
+type Blocks struct {
+	// File is the CSV file (prefix,site), relative to the section's file. It
+	// may be empty.
+	File string
+	// Manifest is the name of the manifest in the object store. It is empty
+	// before the first upload.
+	Manifest string
+	Origin   Origin
+}
--- /dev/null
+++ b/core/toml/errors.go
@@ -0,0 +1,73 @@
+package toml
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// maxErrors bounds a List; more errors help nobody and cost memory.
+const maxErrors = 100
+
+// Error is one thing that is wrong with a text.
+type Error struct {
+	File    string
+	Line    int
+	Key     string // empty if the error concerns no key
+	Message string
+}
+
+// Error returns FILE:LINE: key: message.
+func (e Error) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Message)
+}
+
+// List collects errors. The zero value is empty and ready to use.
+type List struct {
+	errors  []Error
+	dropped int
+}
+
+// Addf notes an error.
+func (l *List) Addf(file string, line int, key, format string, args ...any) {
+	if len(l.errors) == maxErrors {
+		l.dropped++
+		return
+	}
+	l.errors = append(l.errors, Error{File: file, Line: line, Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// Err returns the errors ordered by file and line as Errors, or nil if there
+// are none.
+func (l *List) Err() error {
+	if len(l.errors) == 0 {
+		return nil
+	}
+	errs := append(Errors(nil), l.errors...)
+	sort.SliceStable(errs, func(i, j int) bool {
+		if errs[i].File != errs[j].File {
+			return errs[i].File < errs[j].File
+		}
+		return errs[i].Line < errs[j].Line
+	})
+	if l.dropped > 0 {
+		last := errs[len(errs)-1]
+		errs = append(errs, Error{File: last.File, Line: last.Line, Message: fmt.Sprintf("%d more errors", l.dropped)})
+	}
+	return errs
+}
+
+// Errors are the errors of one or more texts.
+type Errors []Error
+
+// Error returns one line per error.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i := range e {
+		lines[i] = e[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
