--- a/core/toml/parse.go
+++ b/core/toml/parse.go
@@ -18,6 +18,10 @@
 	MaxBytes = 4 << 20
 	// maxKeys is a key per 16 bytes of the longest text.
 	maxKeys = MaxBytes / 16
+	// maxSeparators bounds what the parser allocates for one huge expression,
+	// up to 500 bytes per separator, before the walker sees it. The largest
+	// document, of 16,384 targets, has about 70,000.
+	maxSeparators = MaxBytes / 8
 	// maxDepth is the number of nested tables, arrays and key parts. The
 	// deepest settings use 3.
 	maxDepth = 6
@@ -68,11 +72,19 @@
 // scan notes the line of each key. It returns false after noting an error.
 func (s *source) scan(text []byte) bool {
 	w := walker{source: s, lengths: map[string]int{}}
+	separators := 0
 	for i, c := range text {
-		if c == '\n' {
+		switch c {
+		case '\n':
 			w.newlines = append(w.newlines, i)
+		case '.', ',':
+			separators++
 		}
 	}
+	if separators > maxSeparators {
+		s.errorf(1, "", "the text has more than %d dots and commas", maxSeparators)
+		return false
+	}
 	w.parser.Reset(text)
 	for w.parser.NextExpression() {
 		if !w.expression(w.parser.Expression()) {
