--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,6 +1,18 @@
 // Package settings reads and validates the TOML settings of a daemon.
 package settings
 
+import (
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioford.example/core/toml"
+)
+
 // Settings are the validated settings of one daemon.
 type Settings struct {
 	// File is the file that the settings came from.
@@ -52,10 +64,156 @@
 	KeyBytes int64
 }
 
+// Defaults and bounds of the limits.
+const (
+	defaultConnections = 4096
+	maxConnections     = 1 << 16
+	defaultHeaderBytes = 16 << 10
+	minHeaderBytes     = 1 << 10
+	maxHeaderBytes     = 1 << 20
+	defaultBodyBytes   = 1 << 30
+	maxBodyBytes       = 16 << 30
+	defaultKeyBytes    = 16 << 20
+	minKeyBytes        = 1 << 20
+	maxKeyBytes        = 1 << 30
+	maxPeers           = 64
+)
+
+var (
+	instancePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9_-]{0,62}$`)
+	namePattern     = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	levelPattern    = regexp.MustCompile(`^(debug|info|warning|error)$`)
+	filePattern     = regexp.MustCompile(`^.+$`)
+)
+
 // Load reads and validates a file. The error lists everything that is wrong,
 // one line each: FILE:LINE: key: what is wrong.
-func Load(file string) (*Settings, error) { return Parse(file, nil) }
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrapf(err, "step=read-settings")
+	}
+	return Parse(file, text)
+}
 
 // Parse validates the text of a settings file; file is used in errors and to
-// resolve relative names.
-func Parse(file string, text []byte) (*Settings, error) { return &Settings{File: file}, nil }
+// resolve relative names. The error is of the type toml.Errors.
+func Parse(file string, text []byte) (*Settings, error) {
+	var errs toml.List
+	s := &Settings{File: file}
+	if root := toml.Parse(file, string(text), &errs); root != nil {
+		s.decode(root)
+	}
+	if err := errs.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) decode(t *toml.Table) {
+	s.Instance = t.Matching("instance", instancePattern, "must be 1 to 63 letters, digits, hyphens and underscores")
+	s.Zone = t.Matching("zone", namePattern, "must be the name of an availability zone")
+	s.Region = t.Matching("region", namePattern, "must be the name of a region")
+	s.Platform = toml.Value(t, "platform", "a URL", platformURL)
+	s.LogLevel = t.Matching("log_level", levelPattern, "must be debug, info, warning or error", "info")
+	s.Addresses.decode(t.Table("addresses"))
+	s.decodePeers(t)
+	s.Plain = t.Bool("plain", false)
+	s.decodeTLS(t)
+	s.Limits.decode(t.Table("limits"))
+	t.Finish()
+}
+
+func (a *Addresses) decode(t *toml.Table) {
+	fields := []struct {
+		key   string
+		value *string
+	}{{"callers", &a.Callers}, {"peer", &a.Peer}, {"forward", &a.Forward}, {"operators", &a.Operators}}
+	used := map[string]string{}
+	for _, f := range fields {
+		*f.value = t.Address(f.key)
+		if other, ok := used[*f.value]; ok && *f.value != "" {
+			t.Errorf(f.key, "is the same address as %s", other)
+		}
+		used[*f.value] = f.key
+	}
+	t.Finish()
+}
+
+func (s *Settings) decodePeers(t *toml.Table) {
+	for i, text := range t.Strings("peers") {
+		peer, err := toml.ParseAddress(text)
+		switch {
+		case i == maxPeers:
+			t.Errorf("peers", "must be at most %d", maxPeers)
+			return
+		case err != nil:
+			t.Errorf("peers", "%s", err)
+		default:
+			s.Peers = append(s.Peers, peer)
+		}
+	}
+}
+
+// decodeTLS requires either the three files or plain = true, so that nobody
+// runs without TLS by an oversight.
+func (s *Settings) decodeTLS(t *toml.Table) {
+	present := t.Has("tls")
+	switch {
+	case s.Plain && present:
+		t.Errorf("tls", "must be absent when plain = true")
+	case !s.Plain && !present:
+		t.Errorf("tls", "missing; it must name certificate, key and authority, or else set plain = true")
+	}
+	files := t.Table("tls")
+	if !present || s.Plain {
+		return
+	}
+	s.TLS = TLS{
+		Certificate: s.file(files, "certificate"),
+		Key:         s.file(files, "key"),
+		Authority:   s.file(files, "authority"),
+	}
+	files.Finish()
+}
+
+// file returns the name of a file that can be opened.
+func (s *Settings) file(t *toml.Table, key string) string {
+	name := t.Matching(key, filePattern, "must be the name of a file")
+	if name == "" {
+		return ""
+	}
+	if !filepath.IsAbs(name) {
+		name = filepath.Join(filepath.Dir(s.File), name)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		t.Errorf(key, "%s", err)
+		return ""
+	}
+	_ = f.Close() // nothing was written
+	return name
+}
+
+func (l *Limits) decode(t *toml.Table) {
+	l.Connections = t.Int("connections", 1, maxConnections, defaultConnections)
+	l.HeaderBytes = int(t.Bytes("header", minHeaderBytes, maxHeaderBytes, defaultHeaderBytes))
+	l.BodyBytes = t.Bytes("body", 0, maxBodyBytes, defaultBodyBytes)
+	l.KeyBytes = t.Bytes("keys", minKeyBytes, maxKeyBytes, defaultKeyBytes)
+	t.Finish()
+}
+
+// platformURL checks the base URL of the platform.
+func platformURL(text string) (string, error) {
+	u, err := url.Parse(text)
+	valid := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" &&
+		(u.Path == "" || u.Path == "/") && u.RawQuery == "" && u.User == nil
+	if valid && u.Port() != "" {
+		_, err = net.LookupPort("tcp", u.Port())
+		valid = err == nil
+	}
+	if !valid {
+		return "", eris.Errorf("%.64q must be http://HOST:PORT or https://HOST:PORT", text)
+	}
+	return u.Scheme + "://" + u.Host, nil
+}
