--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,73 @@
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/pistachioford/settings"
+)
+
+// Guards against examples that no longer pass, or that no longer have the
+// sizes of section 1.1 of the design.
+func TestExamples(t *testing.T) {
+	for _, user := range []string{"kolebe", "ceiba"} {
+		t.Run(user, func(t *testing.T) {
+			is := is.New(t)
+			c := compile(is, user)
+			is.Equal(len(c.Regions), 3)
+			is.Equal(len(c.Zones), 6)
+			is.Equal(len(c.Services), 4)
+			is.Equal(len(c.Links), 6)
+			sizes := map[int]int{}
+			for _, g := range c.Groups {
+				n := 0
+				for _, targets := range g.Targets {
+					is.True(len(targets) > 0) // each zone has targets of each group
+					n += len(targets)
+				}
+				sizes[n]++
+			}
+			is.Equal(sizes, map[int]int{20: 1, 12: 3})
+			checkSettings(is, user, c)
+		})
+	}
+}
+
+func compile(is *is.I, user string) *document.Compiled {
+	files, err := filepath.Glob(filepath.Join(user, "*.toml"))
+	is.NoErr(err)
+	var sections []document.Section
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		is.NoErr(err)
+		name := strings.TrimSuffix(filepath.Base(file), ".toml")
+		sections = append(sections, document.Section{Name: name, Team: name, File: file, Text: string(text)})
+	}
+	c, err := document.Compile(1, sections)
+	is.NoErr(err)
+	return c
+}
+
+// checkSettings loads the settings of all instances: one per shard.
+func checkSettings(is *is.I, user string, c *document.Compiled) {
+	files, err := filepath.Glob(filepath.Join(user, "settings", "*.toml"))
+	is.NoErr(err)
+	is.Equal(len(files), 12)
+	instances := map[string]int{}
+	addresses := map[string]bool{}
+	for _, file := range files {
+		s, err := settings.Load(file)
+		is.NoErr(err)
+		instances[s.Zone]++
+		is.True(!addresses[s.Addresses.Callers]) // two instances share no address
+		addresses[s.Addresses.Callers] = true
+	}
+	for _, z := range c.Zones {
+		is.Equal(instances[z.Name], int(z.Shards))
+	}
+}
