--- /dev/null
+++ b/core/lease/row.go
@@ -0,0 +1,49 @@
+// Package lease decides which shards of its zone an instance holds. Each shard
+// is a row of the table service with an expiry and a fencing epoch.
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Key returns the key of a shard's row.
+func Key(zone string, index uint16) string {
+	return "shard/" + zone + "/" + strconv.Itoa(int(index))
+}
+
+// Row is the value of a shard's row.
+type Row struct {
+	// Holder is unique per process, so it stands for the incarnation too.
+	Holder string `json:"holder"`
+	// Address is the peer address of the holder, for the probe.
+	Address string `json:"address"`
+	// Epoch rises with each change of holder.
+	Epoch uint64 `json:"epoch"`
+	// ExpiryMillis is the end of the term in Unix milliseconds.
+	ExpiryMillis int64 `json:"expiry_ms"`
+	Released     bool  `json:"released"`
+}
+
+// Expiry returns the end of the term.
+func (r *Row) Expiry() time.Time { return time.UnixMilli(r.ExpiryMillis) }
+
+// Encode returns the value of the row.
+func (r *Row) Encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // Row has no field that json.Marshal can refuse.
+	}
+	return value
+}
+
+// DecodeRow reads the value of a shard's row.
+func DecodeRow(value []byte) (*Row, error) {
+	r := &Row{}
+	if err := json.Unmarshal(value, r); err != nil {
+		return nil, fmt.Errorf("decode shard row: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/core/revision/rows.go
@@ -0,0 +1,125 @@
+package revision
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+)
+
+// HeadKey is the key of the row that names the newest accepted revision.
+const HeadKey = "document/head"
+
+// SectionKey returns the key of one version of a section.
+func SectionKey(name string, version uint64) string {
+	return "document/section/" + name + "/" + strconv.FormatUint(version, 10)
+}
+
+// OperationKey returns the key of the row that an apply leaves behind.
+func OperationKey(operation string) string {
+	return "document/operation/" + operation
+}
+
+// Head is the value of the row HeadKey: the newest accepted revision and the
+// content that it consists of.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// Sections are sorted by name.
+	Sections []HeadSection `json:"sections"`
+}
+
+// HeadSection names one version of one section.
+type HeadSection struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	// Hash is the ContentHash of the text.
+	Hash string `json:"hash"`
+	Team string `json:"team"`
+}
+
+// SectionRow is the value of a row SectionKey.
+type SectionRow struct {
+	Text string `json:"text"`
+}
+
+// OperationRow is the value of a row OperationKey.
+type OperationRow struct {
+	Revision uint64 `json:"revision"`
+}
+
+// ContentHash returns the SHA-256 of a section's text in hexadecimal digits.
+func ContentHash(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// Digest identifies the whole content of a revision. Two heads with the same
+// revision and different digests are two contents for one revision.
+func (h *Head) Digest() string {
+	return ContentHash(h.Encode())
+}
+
+// Encode returns the value of the row.
+func (h *Head) Encode() []byte {
+	value, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // Head has no field that json.Marshal can refuse.
+	}
+	return value
+}
+
+// DecodeHead reads the value of the row HeadKey.
+func DecodeHead(value []byte) (*Head, error) {
+	h := &Head{}
+	if err := json.Unmarshal(value, h); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", HeadKey, err)
+	}
+	if h.Revision == 0 {
+		return nil, fmt.Errorf("decode %s: revision is 0", HeadKey)
+	}
+	sorted := sort.SliceIsSorted(h.Sections, func(i, j int) bool {
+		return h.Sections[i].Name < h.Sections[j].Name
+	})
+	if !sorted {
+		return nil, fmt.Errorf("decode %s: sections are not sorted by name", HeadKey)
+	}
+	return h, nil
+}
+
+// Encode returns the value of the row.
+func (s *SectionRow) Encode() []byte {
+	value, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // SectionRow has no field that json.Marshal can refuse.
+	}
+	return value
+}
+
+// DecodeSection reads the value of a row SectionKey.
+func DecodeSection(value []byte) (*SectionRow, error) {
+	s := &SectionRow{}
+	if err := json.Unmarshal(value, s); err != nil {
+		return nil, fmt.Errorf("decode section row: %w", err)
+	}
+	return s, nil
+}
+
+// Encode returns the value of the row.
+func (o *OperationRow) Encode() []byte {
+	value, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // OperationRow has no field that json.Marshal can refuse.
+	}
+	return value
+}
+
+// DecodeOperation reads the value of a row OperationKey.
+func DecodeOperation(value []byte) (*OperationRow, error) {
+	o := &OperationRow{}
+	if err := json.Unmarshal(value, o); err != nil {
+		return nil, fmt.Errorf("decode operation row: %w", err)
+	}
+	return o, nil
+}
