Define the messages between instances

The encoding and the engine are written at the same time, so the types of messages, events and actions come first. A lease can be handed over between two instances of a zone: without that, an outage of the platform together with a replacement of instances leaves the shards without a holder.

--- a/core/control/event.go
+++ b/core/control/event.go
@@ -8,11 +8,13 @@
 import (
 	"time"
 
+	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/document"
+	"pistachioford.example/core/member"
 )
 
 // InstanceID names an entry instance; it is unique per process.
-type InstanceID string
+type InstanceID = member.ID
 
 // OperationID matches an answer of the platform with its call.
 type OperationID uint64
@@ -35,7 +37,9 @@
 	Conflict bool
 	// Instances answers a ListInstances.
 	Instances []Listed
-	Err       error
+	// Object answers a FetchObject.
+	Object []byte
+	Err    error
 }
 
 // Row is a row of the table service.
@@ -71,6 +75,7 @@
 
 // SendMessage sends a message to a peer; it may be lost.
 type SendMessage struct {
+	// To is empty when only the address is known.
 	To      InstanceID
 	Address string
 	Message Message
@@ -93,6 +98,16 @@
 // ListInstances reads the platform's instance list.
 type ListInstances struct{ ID OperationID }
 
+// FetchObject reads an object of the object store.
+type FetchObject struct {
+	ID   OperationID
+	Name string
+}
+
+// ActivateBlocks hands a table of client blocks to the rest of the daemon. Its
+// sites are named, since the numbers of sites may differ between documents.
+type ActivateBlocks struct{ Table *blocks.Table }
+
 // ActivateDocument hands a compiled document to the rest of the daemon.
 type ActivateDocument struct{ Document *document.Compiled }
 
@@ -137,6 +152,8 @@
 func (Read) action()             {}
 func (Write) action()            {}
 func (ListInstances) action()    {}
+func (FetchObject) action()      {}
+func (ActivateBlocks) action()   {}
 func (ActivateDocument) action() {}
 func (HoldShards) action()       {}
 func (ShowPeers) action()        {}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -1,5 +1,220 @@
 package control
 
+import (
+	"pistachioford.example/core/lease"
+	"pistachioford.example/core/member"
+	"pistachioford.example/core/revision"
+)
+
 // Message is one message between two instances. The daemon encodes it in
-// protobuf; see the package peer.
-type Message interface{ message() }
+// protobuf; see the package peer. Messages are immutable once sent.
+type Message interface {
+	// message returns the part that all messages share.
+	message() *Header
+}
+
+// MaxUpdates bounds the updates in one message, so that the traffic of an
+// instance does not grow with the fleet.
+const MaxUpdates = 8
+
+// MaxData bounds the data in one answer, in bytes; a peer message may have
+// 1 MiB.
+const MaxData = 256 << 10
+
+// Header is part of each message.
+type Header struct {
+	// Sender describes the sending instance.
+	Sender member.Record
+	// Revision is the revision that the sender has active, 0 for none.
+	Revision uint64
+	// Updates are at most MaxUpdates records of other instances.
+	Updates []member.Record
+}
+
+func (h *Header) message() *Header { return h }
+
+// HeaderOf returns the part that all messages share.
+func HeaderOf(m Message) *Header { return m.message() }
+
+// Ping asks for an Ack with the same sequence.
+type Ping struct {
+	Header
+	Sequence uint64
+}
+
+// Ack answers a Ping or, on behalf of Target, a PingRequest.
+type Ack struct {
+	Header
+	Sequence uint64
+	// Target is set in the answer to a PingRequest.
+	Target InstanceID
+}
+
+// PingRequest asks the receiver to ping Target and to pass its Ack on.
+type PingRequest struct {
+	Header
+	Sequence uint64
+	Target   InstanceID
+	Address  string
+}
+
+// Gossip carries only the header: news that should not wait for a ping, and
+// the announcement of a departure.
+type Gossip struct{ Header }
+
+// Digest compares the views of two instances of different zones.
+type Digest struct {
+	Header
+	Zones []member.ZoneDigest
+	// Answer is set in the answer to a Digest, which is not answered again.
+	Answer bool
+}
+
+// MembersFetch asks for the records of one zone, or of all for an empty Zone.
+type MembersFetch struct {
+	Header
+	Zone string
+	// After is the last identifier that the sender got, for the next page.
+	After InstanceID
+}
+
+// MembersAnswer is a page of records ordered by identifier.
+type MembersAnswer struct {
+	Header
+	Zone    string
+	After   InstanceID
+	Members []member.Record
+	// More is set when another page follows.
+	More bool
+}
+
+// HeadFetch asks for the highest revision that the receiver holds.
+type HeadFetch struct{ Header }
+
+// HeadAnswer answers a HeadFetch.
+type HeadAnswer struct {
+	Header
+	// Head is nil if the sender holds no document.
+	Head *revision.Head
+	// Synced tells whether the sender may be a source for a starting instance.
+	Synced bool
+}
+
+// Offer asks the receiver to hold a revision before it becomes active.
+type Offer struct {
+	Header
+	Head revision.Head
+}
+
+// Acknowledgement tells that the sender holds a revision.
+type Acknowledgement struct {
+	Header
+	Revision uint64
+	// Digest is the digest of the head of that revision.
+	Digest string
+	// Held is the highest revision that the sender holds.
+	Held uint64
+	// Synced tells whether the sender may be a source for a starting instance.
+	Synced bool
+	// Starting are instances that the sender lately acknowledged a first
+	// revision to; the receiver waits for them too.
+	Starting []member.Record
+}
+
+// SectionFetch asks for the text of a section by its content hash.
+type SectionFetch struct {
+	Header
+	Hash string
+	// Offset is the position of the first byte wanted.
+	Offset uint64
+}
+
+// SectionAnswer answers a SectionFetch with at most MaxData bytes.
+type SectionAnswer struct {
+	Header
+	Hash   string
+	Offset uint64
+	// Size is the size of the whole text; 0 if the sender does not have it.
+	Size uint64
+	Data []byte
+}
+
+// LeaseProbe asks whether the receiver uses a shard of the zone of the sender,
+// or takes it.
+type LeaseProbe struct {
+	Header
+	Shard uint16
+	// Epoch is the epoch in the row that the sender read.
+	Epoch uint64
+}
+
+// LeaseProbeAnswer answers a LeaseProbe.
+type LeaseProbeAnswer struct {
+	Header
+	Shard uint16
+	Epoch uint64
+	// Used is set when the sender uses the shard or may yet use it.
+	Used bool
+}
+
+// LeaseConfirm asks an instance of the zone whether the row of a shard may have
+// changed since the sender, which was paused, last held it.
+type LeaseConfirm struct {
+	Header
+	Shard uint16
+	Epoch uint64
+	// Round matches an answer with its question.
+	Round uint64
+}
+
+// LeaseConfirmAnswer answers a LeaseConfirm.
+type LeaseConfirmAnswer struct {
+	Header
+	Shard uint16
+	Epoch uint64
+	Round uint64
+	// Unchanged is set when the sender was continuous, has taken no step to
+	// take the shard and knows of no other holder.
+	Unchanged bool
+	// Zone are the instances of the zone that the sender knows and that may
+	// have taken the shard; each of them has to confirm.
+	Zone []member.Record
+}
+
+// LeaseHandover passes a shard to an instance of the same zone. The sender has
+// stopped using it.
+type LeaseHandover struct {
+	Header
+	Shard uint16
+	// Epoch is the epoch of the receiver, one above that of the sender.
+	Epoch uint64
+	// Row and Version are what the sender last knew of the row.
+	Row     lease.Row
+	Version uint64
+}
+
+// LeaseHandoverAnswer answers a LeaseHandover.
+type LeaseHandoverAnswer struct {
+	Header
+	Shard    uint16
+	Epoch    uint64
+	Accepted bool
+}
+
+// BlockFetch asks for a chunk of client blocks, or their manifest, by its
+// content hash.
+type BlockFetch struct {
+	Header
+	Hash   string
+	Offset uint64
+}
+
+// BlockAnswer answers a BlockFetch with at most MaxData bytes.
+type BlockAnswer struct {
+	Header
+	Hash   string
+	Offset uint64
+	// Size is the size of the whole chunk; 0 if the sender does not have it.
+	Size uint64
+	Data []byte
+}
