Give handovers a time and held shards an end

A paused process resumes with old messages in its queues and may route a request before its control goroutine has seen the gap in its ticks. Both are refused by time.

--- a/core/control/event.go
+++ b/core/control/event.go
@@ -111,8 +111,15 @@
 // ActivateDocument hands a compiled document to the rest of the daemon.
 type ActivateDocument struct{ Document *document.Compiled }
 
-// HoldShards tells which shards this instance holds from now on.
-type HoldShards struct{ Held []HeldShard }
+// HoldShards tells which shards this instance holds from now on. It is repeated
+// each second with a later Until.
+type HoldShards struct {
+	Held []HeldShard
+	// Until is when the shards must no longer be used unless the action was
+	// repeated: a process that was paused may route a request before its
+	// control goroutine notices the pause.
+	Until time.Time
+}
 
 // HeldShard is a shard lease with its fencing epoch.
 type HeldShard struct {
@@ -121,6 +128,9 @@
 	TakenAt time.Time
 }
 
+// Departed ends a departure: the shards are given up and the daemon may exit.
+type Departed struct{}
+
 // ShowPeers replaces the list of live peers.
 type ShowPeers struct{ Peers []Peer }
 
@@ -153,6 +163,7 @@
 func (Write) action()            {}
 func (ListInstances) action()    {}
 func (FetchObject) action()      {}
+func (Departed) action()         {}
 func (ActivateBlocks) action()   {}
 func (ActivateDocument) action() {}
 func (HoldShards) action()       {}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"pistachioford.example/core/lease"
 	"pistachioford.example/core/member"
 	"pistachioford.example/core/revision"
@@ -27,6 +29,9 @@
 	Sender member.Record
 	// Revision is the revision that the sender has active, 0 for none.
 	Revision uint64
+	// ZoneHash is the hash of the sender's view of its own zone; instances of
+	// one zone notice by it that their views differ.
+	ZoneHash uint64
 	// Updates are at most MaxUpdates records of other instances.
 	Updates []member.Record
 }
@@ -191,6 +196,9 @@
 	// Row and Version are what the sender last knew of the row.
 	Row     lease.Row
 	Version uint64
+	// Sent is the time of the sender; an old handover is refused, because the
+	// sender may have given up waiting for the answer.
+	Sent time.Time
 }
 
 // LeaseHandoverAnswer answers a LeaseHandover.
