--- /dev/null
+++ b/core/member/ping.go
@@ -0,0 +1,125 @@
+package member
+
+import (
+	"sort"
+	"time"
+)
+
+// pingNext pings one member of the zone in each period. All instances of a zone
+// derive the targets from the number of the period by one rotation, so that
+// each member is pinged once per period at its own phase. With independently
+// random targets a member of a large zone stays without a ping for more than a
+// second in one of four deaths, and detection would exceed 2 s.
+func (d *Detector) pingNext(now time.Time, out []Output) []Output {
+	ids := d.zoneIDs()
+	if len(ids) < 2 {
+		return out
+	}
+	number := now.UnixNano() / int64(period)
+	if d.pinged == number {
+		return out
+	}
+	target := d.rotation(ids, number)
+	phase := time.Duration(hashID(target) % uint64(period-50*time.Millisecond))
+	if now.UnixNano()-number*int64(period) < int64(phase) {
+		return out
+	}
+	d.pinged = number
+	return d.startProbe(target, now, out)
+}
+
+// rotation returns the target of this instance in a period.
+func (d *Detector) rotation(ids []ID, number int64) ID {
+	own := sort.Search(len(ids), func(i int) bool { return ids[i] >= d.self.ID })
+	others := uint64(len(ids) - 1)
+	shift := 1 + mix(uint64(number))%others
+	return ids[(uint64(own)+shift)%uint64(len(ids))]
+}
+
+func (d *Detector) startProbe(target ID, now time.Time, out []Output) []Output {
+	for i := range d.probes {
+		if d.probes[i].target == target {
+			return out
+		}
+	}
+	d.sequence++
+	p := probe{target: target, sequence: d.sequence, sent: now, lastSent: now}
+	d.probes = append(d.probes, p)
+	return append(out, d.ping(&p))
+}
+
+func (d *Detector) ping(p *probe) Output {
+	e := &d.entries[d.index[p.target]]
+	return Output{Kind: SendPing, To: e.ID, Address: e.Address, Sequence: p.sequence}
+}
+
+// advanceProbes moves each outstanding ping through its steps: indirect pings,
+// suspicion, death.
+func (d *Detector) advanceProbes(now time.Time, out []Output) []Output {
+	kept := d.probes[:0]
+	for i := range d.probes {
+		p := d.probes[i]
+		at, known := d.index[p.target]
+		if !known || d.entries[at].State.Gone() {
+			continue
+		}
+		age := now.Sub(p.sent)
+		if age >= suspectAfter+suspicion {
+			d.declareDead(at, now)
+			continue
+		}
+		if !p.indirect && age >= indirectAfter {
+			p.indirect = true
+			out = d.pingThroughOthers(&p, out)
+		}
+		if !p.suspected && age >= suspectAfter {
+			p.suspected = true
+		}
+		if p.suspected && now.Sub(p.lastSent) >= repingInterval {
+			p.lastSent = now
+			out = append(out, d.ping(&p))
+			out = d.pingThroughOthers(&p, out)
+		}
+		kept = append(kept, p)
+	}
+	d.probes = kept
+	return out
+}
+
+// pingThroughOthers asks up to three random members of the zone to ping the
+// target.
+func (d *Detector) pingThroughOthers(p *probe, out []Output) []Output {
+	ids := d.zoneIDs()
+	target := &d.entries[d.index[p.target]]
+	start := d.random.IntN(len(ids))
+	sent := 0
+	for k := 0; k < len(ids) && sent < indirectPeers; k++ {
+		id := ids[(start+k)%len(ids)]
+		if id == d.self.ID || id == p.target {
+			continue
+		}
+		sent++
+		out = append(out, Output{
+			Kind: SendPingRequest, To: id, Address: d.entries[d.index[id]].Address,
+			Sequence: p.sequence, Target: target.ID, TargetAddress: target.Address,
+		})
+	}
+	return out
+}
+
+// Acked ends the ping of an instance that answered, directly or through another.
+func (d *Detector) Acked(target ID, sequence uint64) {
+	for i := range d.probes {
+		if d.probes[i].target == target && d.probes[i].sequence == sequence {
+			d.probes = append(d.probes[:i], d.probes[i+1:]...)
+			return
+		}
+	}
+}
+
+// declareDead records a death that this instance found.
+func (d *Detector) declareDead(at int, now time.Time) {
+	r := d.entries[at].Record
+	r.State = Dead
+	d.apply(r, now)
+}
