--- a/core/control/calls.go
+++ b/core/control/calls.go
@@ -89,14 +89,15 @@
 	return c.next
 }
 
-// has tells whether a call with the purpose is in flight.
-func (c *calls) has(p purpose) bool {
+// count returns the number of calls with the purpose that are in flight.
+func (c *calls) count(p purpose) int {
+	count := 0
 	for i := range c.inFlight {
 		if c.inFlight[i].purpose == p {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // end removes a call; an answer to an unknown call is ignored.
--- a/core/control/event.go
+++ b/core/control/event.go
@@ -31,7 +31,8 @@
 // PlatformAnswered is the end of a platform call. Err is nil on success.
 type PlatformAnswered struct {
 	ID OperationID
-	// Rows answers a Read; a missing row has version 0.
+	// Rows answers a Read; a missing row has version 0. For a Write it is the
+	// new row, of which only the version counts.
 	Rows []Row
 	// Conflict is set when a condition of a Write did not hold.
 	Conflict bool
--- /dev/null
+++ b/core/control/join.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"time"
+
+	"pistachioford.example/core/member"
+)
+
+// Intervals of joining and of repair.
+const (
+	seedInterval = 1 * time.Second
+	seedsAtOnce  = 3
+	// pageSize bounds the records in one MembersAnswer.
+	pageSize = 64
+	// pageInterval bounds the pages that repair asks for.
+	pageInterval = 500 * time.Millisecond
+	// aloneTime is how long an instance that hears from nobody looks for
+	// others before it counts as alone in its zone.
+	aloneTime    = 2 * time.Second
+	listInterval = 10 * time.Second
+	// mateGrace is how long an instance that knows others, but none of its own
+	// zone, waits for one to appear.
+	mateGrace = 1 * time.Second
+	maxListed = 4096
+)
+
+// join is the progress of comparing the view of the zone with others, since the
+// start or the last pause.
+type join struct {
+	since time.Time
+	// round tells answers to questions since then from older ones that were
+	// waiting while this instance was paused.
+	round uint64
+	// fresh is when the view was complete, zero before.
+	fresh time.Time
+	// mateAnswered and otherAnswered tell whose pages were complete.
+	mateAnswered  bool
+	otherAnswered bool
+	listAnswered  bool
+
+	seeded   time.Time
+	paged    time.Time
+	listedAt time.Time
+
+	relays   []relay
+	sequence uint64
+}
+
+func (e *Engine) tickJoin(now time.Time) {
+	j := &e.join
+	e.list(now)
+	if e.members.LiveCount() == 1 {
+		e.pingSeeds(now)
+	}
+	if !j.fresh.IsZero() {
+		return
+	}
+	e.fetchPages(now)
+	if e.viewComplete(now) {
+		j.fresh = now
+	}
+}
+
+// list reads the platform's instance list.
+func (e *Engine) list(now time.Time) {
+	j := &e.join
+	if !j.listedAt.IsZero() && now.Sub(j.listedAt) < listInterval {
+		return
+	}
+	j.listedAt = now
+	if id, ok := e.calls.read(forList, now); ok {
+		e.do(ListInstances{ID: id})
+	}
+}
+
+// listed pings the entry instances of the list that are not known. The list
+// lags, so it gives addresses to try and nothing else.
+func (e *Engine) listed(now time.Time, a PlatformAnswered) {
+	if a.Err != nil {
+		return
+	}
+	e.join.listAnswered = true
+	pings := 0
+	for i := range a.Instances[:min(len(a.Instances), maxListed)] {
+		l := &a.Instances[i]
+		if l.Role != "entry" || l.ID == e.config.ID || l.Address == e.config.Address {
+			continue
+		}
+		if _, known := e.members.Get(l.ID); known {
+			continue
+		}
+		if l.Zone != e.config.Zone && pings >= seedsAtOnce {
+			continue
+		}
+		pings++
+		e.send(l.ID, l.Address, &Ping{})
+	}
+}
+
+// pingSeeds pings addresses of the settings until an instance is known.
+func (e *Engine) pingSeeds(now time.Time) {
+	seeds := e.config.Seeds
+	if len(seeds) == 0 || !e.join.seeded.IsZero() && now.Sub(e.join.seeded) < seedInterval {
+		return
+	}
+	e.join.seeded = now
+	start := e.random.IntN(len(seeds))
+	for k := 0; k < len(seeds) && k < seedsAtOnce; k++ {
+		if address := seeds[(start+k)%len(seeds)]; address != e.config.Address {
+			e.send("", address, &Ping{})
+		}
+	}
+}
+
+// fetchPages asks for the records of the zone, or of all, until a mate or
+// another instance answered in full.
+func (e *Engine) fetchPages(now time.Time) {
+	if !e.join.paged.IsZero() && now.Sub(e.join.paged) < pageInterval {
+		return
+	}
+	asked := 0
+	ask := func(r *member.Record) {
+		if asked < seedsAtOnce {
+			asked++
+			e.reply(r, &MembersFetch{Round: e.join.round})
+		}
+	}
+	mates := e.members.Mates()
+	e.random.Shuffle(len(mates), func(i, j int) { mates[i], mates[j] = mates[j], mates[i] })
+	for i := range mates {
+		ask(&mates[i])
+	}
+	if !e.join.otherAnswered {
+		e.members.Live(func(r *member.Record) {
+			if r.Zone != e.config.Zone {
+				ask(r)
+			}
+		})
+	}
+	if asked > 0 {
+		e.join.paged = now
+	}
+}
+
+// viewComplete tells whether this instance knows the live instances of its
+// zone: a mate showed them, or there is none.
+func (e *Engine) viewComplete(now time.Time) bool {
+	j := &e.join
+	if j.mateAnswered {
+		return true
+	}
+	if len(e.members.Mates()) > 0 {
+		return false
+	}
+	alone := now.Sub(j.since)
+	nobody := len(e.config.Seeds) == 0 && j.listAnswered && e.members.LiveCount() == 1
+	return nobody || j.otherAnswered && alone >= mateGrace || alone >= aloneTime
+}
+
+// pageReceived merges a page and asks for the next one.
+func (e *Engine) pageReceived(now time.Time, from *member.Record, m *MembersAnswer) {
+	page := m.Members[:min(len(m.Members), pageSize)]
+	e.members.Merge(page, now)
+	if m.More && len(page) > 0 {
+		e.reply(from, &MembersFetch{Zone: m.Zone, Round: m.Round, After: page[len(page)-1].ID})
+		return
+	}
+	if m.Round != e.join.round {
+		return
+	}
+	if from.Zone == e.config.Zone {
+		e.join.mateAnswered = true
+		return
+	}
+	if m.Zone == "" {
+		e.join.otherAnswered = true
+	}
+}
+
+// compareZone asks a mate for its records of the zone when its view differs.
+func (e *Engine) compareZone(now time.Time, h *Header) {
+	if h.Sender.Zone != e.config.Zone || h.ZoneHash == e.members.ZoneHash() {
+		return
+	}
+	e.fetchZone(now, &h.Sender, h.Sender.Zone)
+}
+
+func (e *Engine) fetchZone(now time.Time, from *member.Record, zone string) {
+	if !e.join.paged.IsZero() && now.Sub(e.join.paged) < pageInterval {
+		return
+	}
+	e.join.paged = now
+	e.reply(from, &MembersFetch{Zone: zone, Round: e.join.round})
+}
+
+// compareDigests answers a digest and asks for the records of a zone that the
+// other instance sees differently.
+func (e *Engine) compareDigests(now time.Time, from *member.Record, m *Digest) {
+	if !m.Answer {
+		e.reply(from, &Digest{Zones: e.members.Digests(), Answer: true})
+	}
+	if differing := e.members.Differing(m.Zones[:min(len(m.Zones), maxListed)]); len(differing) > 0 {
+		e.fetchZone(now, from, differing[e.random.IntN(len(differing))])
+	}
+}
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -7,39 +7,28 @@
 	"pistachioford.example/core/member"
 )
 
-// Intervals of joining.
-const (
-	joinInterval = 1 * time.Second
-	seedsAtOnce  = 3
-	// pageSize bounds the records in one MembersAnswer.
-	pageSize = 64
-)
-
-// header returns the shared part of a message to an instance.
-func (e *Engine) header(to InstanceID) Header {
-	return Header{
-		Sender:   e.members.Self(),
-		Revision: e.thin.active,
-		ZoneHash: e.members.ZoneHash(),
-		Updates:  e.members.Updates(to, MaxUpdates),
-	}
+// relay is a ping on behalf of another instance.
+type relay struct {
+	sequence uint64
+	origin   member.Record
+	theirs   uint64
+	target   InstanceID
+	sent     time.Time
 }
 
-func (e *Engine) send(to InstanceID, address string, m Message) {
-	*m.message() = e.header(to)
-	e.do(SendMessage{To: to, Address: address, Message: m})
-}
-
-// reply answers the sender of a message.
-func (e *Engine) reply(to *member.Record, m Message) {
-	e.send(to.ID, to.Address, m)
-}
+const (
+	// relayLife is how long the answer to a relayed ping is passed on.
+	relayLife = 1 * time.Second
+	maxRelays = 256
+	// relayBit keeps the sequences of relayed pings apart from those of the
+	// detector.
+	relayBit = 1 << 63
+)
 
 func (e *Engine) tickMembers(now time.Time) {
 	for _, o := range e.members.Tick(now) {
 		e.carryOut(o)
 	}
-	e.join(now)
 }
 
 func (e *Engine) carryOut(o member.Output) {
@@ -57,28 +46,71 @@
 	}
 }
 
-// join pings seeds until an instance is known.
-func (e *Engine) join(now time.Time) {
-	seeds := e.config.Seeds
-	if len(seeds) == 0 || e.members.LiveCount() > 1 || now.Sub(e.joined) < joinInterval {
+func (e *Engine) receiveMember(now time.Time, from *member.Record, message Message) {
+	switch m := message.(type) {
+	case *Ping:
+		e.reply(from, &Ack{Sequence: m.Sequence})
+	case *Ack:
+		e.acked(now, from, m)
+	case *PingRequest:
+		e.relayPing(now, from, m)
+	case *Digest:
+		e.compareDigests(now, from, m)
+	case *MembersFetch:
+		page, more := e.members.Page(m.Zone, m.After, pageSize)
+		e.reply(from, &MembersAnswer{Zone: m.Zone, Round: m.Round, After: m.After, Members: page, More: more})
+	case *MembersAnswer:
+		e.pageReceived(now, from, m)
+	}
+}
+
+func (e *Engine) acked(now time.Time, from *member.Record, m *Ack) {
+	if m.Target != "" {
+		e.members.Acked(m.Target, m.Sequence)
 		return
 	}
-	e.joined = now
-	start := e.random.IntN(len(seeds))
-	for k := 0; k < len(seeds) && k < seedsAtOnce; k++ {
-		if address := seeds[(start+k)%len(seeds)]; address != e.config.Address {
-			e.send("", address, &Ping{})
+	if m.Sequence&relayBit == 0 {
+		e.members.Acked(from.ID, m.Sequence)
+		return
+	}
+	relays := e.join.relays
+	for i := range relays {
+		r := &relays[i]
+		if r.sequence == m.Sequence && r.target == from.ID && now.Sub(r.sent) < relayLife {
+			e.reply(&r.origin, &Ack{Sequence: r.theirs, Target: r.target})
+			return
 		}
 	}
 }
 
+// relayPing pings the target of a request.
+func (e *Engine) relayPing(now time.Time, from *member.Record, m *PingRequest) {
+	kept := e.join.relays[:0]
+	for _, r := range e.join.relays {
+		if now.Sub(r.sent) < relayLife {
+			kept = append(kept, r)
+		}
+	}
+	e.join.relays = kept
+	if len(kept) >= maxRelays {
+		return
+	}
+	e.join.sequence++
+	sequence := e.join.sequence | relayBit
+	e.join.relays = append(kept, relay{
+		sequence: sequence, origin: *from, theirs: m.Sequence, target: m.Target, sent: now,
+	})
+	e.send(m.Target, m.Address, &Ping{Sequence: sequence})
+}
+
 // showPeers shows the live peers when they changed.
 func (e *Engine) showPeers() {
-	if e.showed && e.shown == e.members.Version() {
+	s := &e.shown
+	if s.once && s.version == e.members.Version() {
 		return
 	}
-	e.showed = true
-	e.shown = e.members.Version()
+	s.once = true
+	s.version = e.members.Version()
 	var peers []Peer
 	e.members.Live(func(r *member.Record) {
 		peers = append(peers, Peer{
@@ -86,6 +118,7 @@
 			Shards:      e.shardIDs(r),
 			Leaving:     r.State == member.Leaving,
 			Unreachable: e.members.Unreachable(r.Zone),
+			Revision:    s.active[r.ID],
 		})
 	})
 	e.do(ShowPeers{Peers: peers})
@@ -102,16 +135,3 @@
 	}
 	return ids
 }
-
-// receive takes a message from a peer.
-func (e *Engine) receive(now time.Time, r MessageReceived) {
-	h := r.Message.message()
-	e.members.Heard(h.Sender, now)
-	e.members.Merge(h.Updates, now)
-	switch m := r.Message.(type) {
-	case *Ping:
-		e.reply(&h.Sender, &Ack{Sequence: m.Sequence})
-	case *Ack:
-		e.members.Acked(h.Sender.ID, m.Sequence)
-	}
-}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -79,6 +79,8 @@
 type MembersFetch struct {
 	Header
 	Zone string
+	// Round matches an answer with its question.
+	Round uint64
 	// After is the last identifier that the sender got, for the next page.
 	After InstanceID
 }
@@ -87,6 +89,7 @@
 type MembersAnswer struct {
 	Header
 	Zone    string
+	Round   uint64
 	After   InstanceID
 	Members []member.Record
 	// More is set when another page follows.
@@ -109,11 +112,14 @@
 type Offer struct {
 	Header
 	Head revision.Head
+	// Round matches an acknowledgement with its offer.
+	Round uint64
 }
 
 // Acknowledgement tells that the sender holds a revision.
 type Acknowledgement struct {
 	Header
+	Round    uint64
 	Revision uint64
 	// Digest is the digest of the head of that revision.
 	Digest string
--- /dev/null
+++ b/core/control/receive.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"time"
+
+	"pistachioford.example/core/member"
+)
+
+// receive takes a message from a peer.
+func (e *Engine) receive(now time.Time, r MessageReceived) {
+	if r.Message == nil {
+		return
+	}
+	h := r.Message.message()
+	if h == nil || h.Sender.ID == e.config.ID || r.From != "" && r.From != h.Sender.ID {
+		return
+	}
+	e.members.Heard(h.Sender, now)
+	e.members.Merge(h.Updates[:min(len(h.Updates), MaxUpdates)], now)
+	if e.members.Condemned() {
+		e.log("declared dead by others")
+		e.doubt(now)
+	}
+	e.heardRevision(now, h)
+	e.compareZone(now, h)
+	e.dispatch(now, &h.Sender, r.Message)
+}
+
+func (e *Engine) dispatch(now time.Time, from *member.Record, message Message) {
+	switch m := message.(type) {
+	case *Ping, *Ack, *PingRequest, *Digest, *MembersFetch, *MembersAnswer:
+		e.receiveMember(now, from, m)
+	case *HeadFetch, *HeadAnswer, *Offer, *Acknowledgement, *SectionFetch, *SectionAnswer:
+		e.receiveDocument(now, from, m)
+	case *LeaseProbe, *LeaseProbeAnswer, *LeaseConfirm, *LeaseConfirmAnswer,
+		*LeaseHandover, *LeaseHandoverAnswer:
+		e.receiveLease(now, from, m)
+	}
+}
--- a/core/member/ping.go
+++ b/core/member/ping.go
@@ -78,7 +78,9 @@
 		if p.suspected && now.Sub(p.lastSent) >= repingInterval {
 			p.lastSent = now
 			out = append(out, d.ping(&p))
-			out = d.pingThroughOthers(&p, out)
+			if age >= suspectAfter {
+				out = d.pingThroughOthers(&p, out)
+			}
 		}
 		kept = append(kept, p)
 	}
@@ -123,3 +125,19 @@
 	r.State = Dead
 	d.apply(r, now)
 }
+
+// ProbeMates pings all members of the zone, after a pause in which any of them
+// may have gone.
+func (d *Detector) ProbeMates(now time.Time) {
+	d.probes = d.probes[:0]
+	for _, id := range d.zoneIDs() {
+		if id == d.self.ID {
+			continue
+		}
+		d.sequence++
+		d.probes = append(d.probes, probe{
+			target: id, sequence: d.sequence, sent: now, indirect: true, suspected: true,
+		})
+	}
+	d.lastTick = now
+}
--- a/core/member/zone.go
+++ b/core/member/zone.go
@@ -219,3 +219,14 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// OnePerZone returns a random live instance of each other zone.
+func (d *Detector) OnePerZone() []Record {
+	var one []Record
+	for i := range d.zones {
+		if at, ok := d.randomIn(d.zones[i].name); ok {
+			one = append(one, d.entries[at].Record)
+		}
+	}
+	return one
+}
--- a/core/revision/rows.go
+++ b/core/revision/rows.go
@@ -4,8 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"sort"
 	"strconv"
 )
 
@@ -76,16 +76,26 @@
 	if err := json.Unmarshal(value, h); err != nil {
 		return nil, fmt.Errorf("decode %s: %w", HeadKey, err)
 	}
+	if err := h.Valid(); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", HeadKey, err)
+	}
+	return h, nil
+}
+
+// Valid checks a head from outside.
+func (h *Head) Valid() error {
 	if h.Revision == 0 {
-		return nil, fmt.Errorf("decode %s: revision is 0", HeadKey)
+		return errors.New("revision is 0")
 	}
-	sorted := sort.SliceIsSorted(h.Sections, func(i, j int) bool {
-		return h.Sections[i].Name < h.Sections[j].Name
-	})
-	if !sorted {
-		return nil, fmt.Errorf("decode %s: sections are not sorted by name", HeadKey)
+	if len(h.Sections) > maxSections {
+		return fmt.Errorf("%d sections, more than %d", len(h.Sections), maxSections)
 	}
-	return h, nil
+	for i := 1; i < len(h.Sections); i++ {
+		if h.Sections[i-1].Name >= h.Sections[i].Name {
+			return errors.New("sections are not sorted by name")
+		}
+	}
+	return nil
 }
 
 // Encode returns the value of the row.
