--- a/core/control/event.go
+++ b/core/control/event.go
@@ -8,11 +8,13 @@
 import (
 	"time"
 
+	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/document"
+	"pistachioford.example/core/member"
 )
 
 // InstanceID names an entry instance; it is unique per process.
-type InstanceID string
+type InstanceID = member.ID
 
 // OperationID matches an answer of the platform with its call.
 type OperationID uint64
@@ -29,13 +31,16 @@
 // PlatformAnswered is the end of a platform call. Err is nil on success.
 type PlatformAnswered struct {
 	ID OperationID
-	// Rows answers a Read; a missing row has version 0.
+	// Rows answers a Read; a missing row has version 0. For a Write it is the
+	// new row, of which only the version counts.
 	Rows []Row
 	// Conflict is set when a condition of a Write did not hold.
 	Conflict bool
 	// Instances answers a ListInstances.
 	Instances []Listed
-	Err       error
+	// Object answers a FetchObject.
+	Object []byte
+	Err    error
 }
 
 // Row is a row of the table service.
@@ -71,6 +76,7 @@
 
 // SendMessage sends a message to a peer; it may be lost.
 type SendMessage struct {
+	// To is empty when only the address is known.
 	To      InstanceID
 	Address string
 	Message Message
@@ -93,11 +99,28 @@
 // ListInstances reads the platform's instance list.
 type ListInstances struct{ ID OperationID }
 
+// FetchObject reads an object of the object store.
+type FetchObject struct {
+	ID   OperationID
+	Name string
+}
+
+// ActivateBlocks hands a table of client blocks to the rest of the daemon. Its
+// sites are named, since the numbers of sites may differ between documents.
+type ActivateBlocks struct{ Table *blocks.Table }
+
 // ActivateDocument hands a compiled document to the rest of the daemon.
 type ActivateDocument struct{ Document *document.Compiled }
 
-// HoldShards tells which shards this instance holds from now on.
-type HoldShards struct{ Held []HeldShard }
+// HoldShards tells which shards this instance holds from now on. It is repeated
+// each second with a later Until.
+type HoldShards struct {
+	Held []HeldShard
+	// Until is when the shards must no longer be used unless the action was
+	// repeated: a process that was paused may route a request before its
+	// control goroutine notices the pause.
+	Until time.Time
+}
 
 // HeldShard is a shard lease with its fencing epoch.
 type HeldShard struct {
@@ -106,6 +129,9 @@
 	TakenAt time.Time
 }
 
+// Departed ends a departure: the shards are given up and the daemon may exit.
+type Departed struct{}
+
 // ShowPeers replaces the list of live peers.
 type ShowPeers struct{ Peers []Peer }
 
@@ -137,6 +163,9 @@
 func (Read) action()             {}
 func (Write) action()            {}
 func (ListInstances) action()    {}
+func (FetchObject) action()      {}
+func (Departed) action()         {}
+func (ActivateBlocks) action()   {}
 func (ActivateDocument) action() {}
 func (HoldShards) action()       {}
 func (ShowPeers) action()        {}
