--- /dev/null
+++ b/cmd/pistachioctl/commands.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"pistachioford.example/pistachioford/operate"
+)
+
+// maxArguments bounds the files of one command.
+const maxArguments = 256
+
+// command is one subcommand.
+type command struct {
+	name        string
+	description string
+	define      func(f *flaggy.Subcommand, o *options)
+	run         func(ctx context.Context, o *options) (any, error)
+	flags       *flaggy.Subcommand
+}
+
+func newCommands() []*command {
+	return []*command{
+		{name: "check", description: "Validate files as one document; touches nothing.", define: defineFiles, run: check},
+		{name: "diff", description: "Show what applying files would change.", define: definePlatformFiles, run: diff},
+		{name: "apply", description: "Make a file the active text of its section.", define: defineApply, run: apply},
+		{name: "show", description: "Print a section, or list the sections.", define: defineShow, run: show},
+		{name: "history", description: "List the newest revisions.", define: defineHistory, run: history},
+		{name: "status", description: "Ask the instances which revision each has active.", define: defineStatus, run: status},
+		{name: "drain", description: "Give a target no new work.", define: defineDrain, run: drain(true)},
+		{name: "undrain", description: "Give a target work again.", define: defineDrain, run: drain(false)},
+	}
+}
+
+// files adds the arguments FILE...; flaggy has no repeated argument, so each
+// has its own position.
+func files(f *flaggy.Subcommand, o *options) {
+	f.AddPositionalValue(&o.args[0], "FILE...", 1, true, "TOML files, one section each.")
+	for i := 1; i < maxArguments; i++ {
+		f.AddPositionalValue(&o.args[i], "FILE"+strconv.Itoa(i+1), i+1, false, "")
+		f.PositionalFlags[i].Hidden = true
+	}
+}
+
+func platformFlag(f *flaggy.Subcommand, o *options) {
+	f.String(&o.platform, "p", "platform", "URL of the platform.")
+}
+
+func changeFlags(f *flaggy.Subcommand, o *options) {
+	platformFlag(f, o)
+	f.String(&o.tokenFile, "t", "token-file", "File with the team's token.")
+	f.String(&o.operation, "o", "operation", "Id of an earlier run whose outcome is unknown.")
+}
+
+func defineFiles(f *flaggy.Subcommand, o *options) { files(f, o) }
+
+func definePlatformFiles(f *flaggy.Subcommand, o *options) {
+	files(f, o)
+	platformFlag(f, o)
+}
+
+func defineApply(f *flaggy.Subcommand, o *options) {
+	files(f, o)
+	changeFlags(f, o)
+	f.String(&o.base, "b", "base", "Version that the edit started from, if the file does not say it.")
+}
+
+func defineShow(f *flaggy.Subcommand, o *options) {
+	f.AddPositionalValue(&o.args[0], "SECTION", 1, false, "Section to print.")
+	platformFlag(f, o)
+	f.UInt64(&o.version, "s", "section-version", "Version to print; the active one by default.")
+}
+
+func defineHistory(f *flaggy.Subcommand, o *options) {
+	o.limit = 20
+	platformFlag(f, o)
+	f.Int(&o.limit, "n", "limit", "Number of revisions.")
+}
+
+func defineStatus(f *flaggy.Subcommand, o *options) {
+	platformFlag(f, o)
+	f.StringSlice(&o.instances, "i", "instances", "Operators' ports to ask instead of the platform's list.")
+}
+
+func defineDrain(f *flaggy.Subcommand, o *options) {
+	f.AddPositionalValue(&o.args[0], "TARGET", 1, true, "Name of the target.")
+	changeFlags(f, o)
+}
+
+func check(_ context.Context, o *options) (any, error) {
+	files, err := operate.OpenFiles(o.arguments())
+	if err != nil {
+		return nil, err
+	}
+	return operate.Check(files)
+}
+
+func diff(ctx context.Context, o *options) (any, error) {
+	files, err := operate.OpenFiles(o.arguments())
+	if err != nil {
+		return nil, err
+	}
+	operator, err := o.operator()
+	if err != nil {
+		return nil, err
+	}
+	return operator.Diff(ctx, files)
+}
+
+func apply(ctx context.Context, o *options) (any, error) {
+	files, err := operate.OpenFiles(o.arguments())
+	if err != nil {
+		return nil, err
+	}
+	operator, token, err := o.authorized()
+	if err != nil {
+		return nil, err
+	}
+	request := operate.ApplyRequest{Files: files, Token: token, Operation: o.operation}
+	if o.base != "" {
+		request.HasBase = true
+		if request.Base, err = strconv.ParseUint(o.base, 10, 64); err != nil {
+			return nil, &operate.RefusedError{Reason: fmt.Sprintf("--base %q is no version", o.base)}
+		}
+	}
+	changed, err := operator.Apply(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return changed, remark(files, changed)
+}
+
+// remark writes the new versions into the marks of the files.
+func remark(files []operate.File, changed *operate.Changed) error {
+	for _, s := range changed.Sections {
+		for i := range files {
+			if files[i].Name != s.Name {
+				continue
+			}
+			if err := files[i].Remark(s.Version); err != nil {
+				return fmt.Errorf("applied as revision %d, but the version in the file could not be updated: %w", changed.Revision, err)
+			}
+		}
+	}
+	return nil
+}
+
+func show(ctx context.Context, o *options) (any, error) {
+	operator, err := o.operator()
+	if err != nil {
+		return nil, err
+	}
+	if o.args[0] == "" {
+		return operator.Overview(ctx)
+	}
+	return operator.Show(ctx, o.args[0], o.version)
+}
+
+func history(ctx context.Context, o *options) (any, error) {
+	operator, err := o.operator()
+	if err != nil {
+		return nil, err
+	}
+	return operator.History(ctx, o.limit)
+}
+
+func status(ctx context.Context, o *options) (any, error) {
+	operator, err := o.operator()
+	if err != nil {
+		return nil, err
+	}
+	return operator.Status(ctx, o.instances)
+}
+
+func drain(draining bool) func(context.Context, *options) (any, error) {
+	return func(ctx context.Context, o *options) (any, error) {
+		operator, token, err := o.authorized()
+		if err != nil {
+			return nil, err
+		}
+		return operator.Drain(ctx, operate.DrainRequest{
+			Target: o.args[0], Draining: draining, Token: token, Operation: o.operation,
+		})
+	}
+}
--- /dev/null
+++ b/cmd/pistachioctl/print.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/pistachioford/operate"
+)
+
+// failure is an error as JSON.
+type failure struct {
+	Error string `json:"error"`
+	Code  int    `json:"code"`
+	// Faults are those of a document that is not valid.
+	Faults []document.Error `json:"faults,omitempty"`
+	// Conflict and Operation say what to do next.
+	Conflict  *operate.ConflictError `json:"conflict,omitempty"`
+	Operation string                 `json:"operation,omitempty"`
+}
+
+// printError prints to standard error, or with --json to standard output.
+func (o *options) printError(err error) {
+	if !o.json {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	f := failure{Error: err.Error(), Code: operate.ExitCode(err)}
+	var faults document.Errors
+	if errors.As(err, &faults) {
+		f.Faults = faults
+	}
+	var unknown *operate.UnknownError
+	if errors.As(err, &unknown) {
+		f.Operation = unknown.Operation
+	}
+	errors.As(err, &f.Conflict)
+	if err := o.printJSON(f); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+// print prints the result of a command.
+func (o *options) print(result any) error {
+	if o.json {
+		return o.printJSON(result)
+	}
+	switch r := result.(type) {
+	case *operate.Checked:
+		return printChecked(o.out, r)
+	case []operate.Diff:
+		return printDiffs(o.out, r)
+	case *operate.Changed:
+		return printChanged(o.out, r)
+	case *operate.Overview:
+		return printOverview(o.out, r)
+	case *operate.Shown:
+		_, err := io.WriteString(o.out, r.Marked())
+		return err
+	case []operate.Record:
+		return printHistory(o.out, r)
+	case *operate.Status:
+		return printStatus(o.out, r)
+	}
+	return fmt.Errorf("no text form of %T", result)
+}
+
+func (o *options) printJSON(value any) error {
+	encoder := json.NewEncoder(o.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func printChecked(w io.Writer, c *operate.Checked) error {
+	_, err := fmt.Fprintf(w, "ok: %d regions, %d zones, %d groups, %d services, %d targets\n",
+		c.Regions, c.Zones, c.Groups, c.Services, c.Targets)
+	return err
+}
+
+func printDiffs(w io.Writer, diffs []operate.Diff) error {
+	for _, d := range diffs {
+		text := d.Text
+		if text == "" {
+			text = fmt.Sprintf("section %s: no change\n", d.Section)
+		}
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printChanged(w io.Writer, c *operate.Changed) error {
+	if c.Unchanged {
+		_, err := fmt.Fprintf(w, "no change: revision %d is as asked for\n", c.Revision)
+		return err
+	}
+	earlier := ""
+	if c.Earlier {
+		earlier = " by an earlier run of the operation"
+	}
+	_, err := fmt.Fprintf(w, "accepted as revision %d%s: %s\n", c.Revision, earlier, sections(c.Sections))
+	return err
+}
+
+// sections lists sections with their versions.
+func sections(changed []operate.ChangedSection) string {
+	names := make([]string, len(changed))
+	for i, s := range changed {
+		names[i] = fmt.Sprintf("%s version %d", s.Name, s.Version)
+	}
+	return strings.Join(names, ", ")
+}
+
+func printOverview(w io.Writer, v *operate.Overview) error {
+	if v.Revision == 0 {
+		_, err := fmt.Fprintln(w, "there is no document yet")
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "SECTION\tVERSION\tTEAM\tHASH\n")
+	for _, s := range v.Sections {
+		fmt.Fprintf(table, "%s\t%d\t%s\t%.12s\n", s.Name, s.Version, s.Team, s.Hash)
+	}
+	fmt.Fprintf(table, "revision %d\n", v.Revision)
+	return table.Flush()
+}
+
+func printHistory(w io.Writer, records []operate.Record) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "REVISION\tTIME\tOPERATION\tSECTIONS\n")
+	for _, r := range records {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", r.Revision, r.Time.Format(time.RFC3339), r.Operation, sections(r.Sections))
+	}
+	return table.Flush()
+}
+
+func printStatus(w io.Writer, s *operate.Status) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "INSTANCE\tZONE\tSTATE\tREVISION\tSHARDS\tIN FLIGHT\n")
+	for _, i := range s.Instances {
+		state := string(i.State)
+		if i.State != operate.Active {
+			state = "! " + state
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\n", i.Instance, i.Zone, state, i.Revision, strings.Join(i.Shards, " "), i.InFlight)
+	}
+	fmt.Fprintf(table, "newest revision %d, platform %s\n", s.Newest, s.Platform)
+	return table.Flush()
+}
--- a/core/document/section.go
+++ b/core/document/section.go
@@ -30,6 +30,9 @@
 // Errors are all errors of a document, ordered by file and line.
 type Errors = toml.Errors
 
+// Error is one error of a document.
+type Error = toml.Error
+
 // Index tells operators' tools where things are defined. Instances do not need
 // it.
 type Index struct {
--- a/core/toml/errors.go
+++ b/core/toml/errors.go
@@ -11,10 +11,10 @@
 
 // Error is one thing that is wrong with a text.
 type Error struct {
-	File    string
-	Line    int
-	Key     string // empty if the error concerns no key
-	Message string
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key,omitempty"` // empty if the error concerns no key
+	Message string `json:"message"`
 }
 
 // Error returns FILE:LINE: key: message.
--- /dev/null
+++ b/operate/check.go
@@ -0,0 +1,31 @@
+package operate
+
+import (
+	"pistachioford.example/core/document"
+)
+
+// Checked is what a valid document holds.
+type Checked struct {
+	Files    []string `json:"files"`
+	Regions  int      `json:"regions"`
+	Zones    int      `json:"zones"`
+	Groups   int      `json:"groups"`
+	Services int      `json:"services"`
+	Targets  int      `json:"targets"`
+}
+
+// Check validates files as one document. It touches nothing.
+func Check(files []File) (*Checked, error) {
+	c, _, err := document.Build(1, sectionsOf(files))
+	if err != nil {
+		return nil, err
+	}
+	checked := &Checked{
+		Regions: len(c.Regions), Zones: len(c.Zones), Groups: len(c.Groups),
+		Services: len(c.Services), Targets: len(c.Targets),
+	}
+	for _, f := range files {
+		checked.Files = append(checked.Files, f.File)
+	}
+	return checked, nil
+}
--- /dev/null
+++ b/operate/errors.go
@@ -0,0 +1,86 @@
+package operate
+
+import (
+	"errors"
+	"fmt"
+
+	"pistachioford.example/core/document"
+)
+
+// ConflictError reports that somebody else changed a section since the editor
+// read it. Nothing was changed.
+type ConflictError struct {
+	Section string
+	// Base is the version that the editor read, Current the one that is active.
+	Base, Current uint64
+	// Revision is the revision that made the current version; 0 if it is too
+	// old to be found.
+	Revision uint64
+}
+
+// Error says what to do next.
+func (e *ConflictError) Error() string {
+	by := "an older revision"
+	if e.Revision > 0 {
+		by = fmt.Sprintf("revision %d", e.Revision)
+	}
+	return fmt.Sprintf("conflict: section %q is at version %d, made by %s, but the edit started from version %d; "+
+		"run pistachioctl show %s, merge the edit into it and apply that", e.Section, e.Current, by, e.Base, e.Section)
+}
+
+// UnknownError reports that a change may or may not have been made.
+type UnknownError struct {
+	Operation string
+	Err       error
+}
+
+// Error says how to find out.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome unknown: %v; run the same command again with --operation %s, which never applies it twice", e.Err, e.Operation)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// RefusedError reports a change that a rule forbids.
+type RefusedError struct{ Reason string }
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return "refused: " + e.Reason }
+
+func refusef(format string, args ...any) error {
+	return &RefusedError{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Exit codes of pistachioctl.
+const (
+	ExitOK       = 0
+	ExitInvalid  = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4
+	ExitPlatform = 5
+	ExitStale    = 6
+)
+
+// ExitCode returns the exit code for an error.
+func ExitCode(err error) int {
+	var (
+		invalid    document.Errors
+		transition *document.TransitionError
+		refused    *RefusedError
+		conflict   *ConflictError
+		unknown    *UnknownError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &invalid), errors.As(err, &transition), errors.As(err, &refused):
+		return ExitInvalid
+	}
+	return ExitPlatform
+}
