Test detection, activation and leases in virtual time

A candidate now requires a row that was read lately: an instance that remembered a row as missing tried to take the shard of a paused holder and so denied it the confirmation of the zone during an outage.

--- a/core/control/engine.go
+++ b/core/control/engine.go
@@ -54,7 +54,7 @@
 		random:   rand.New(rand.NewPCG(c.Seed, 1)),
 		calls:    newCalls(c.Start),
 		members:  member.New(self, c.Seed, c.Start),
-		keeper:   lease.New(string(c.ID), c.Address),
+		keeper:   lease.New(string(c.ID), c.Address, c.Start),
 		lastSeen: c.Start,
 		join:     join{since: c.Start},
 		shown:    shown{active: map[InstanceID]uint64{}},
--- /dev/null
+++ b/core/control/lease_test.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an outage of the platform in which the replacement of
+// instances loses the document or the shards.
+func TestOutageWithReplacement(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, 6, 2)
+	fleet(t, s, 2)
+	r := s.store.edit("a", "newest")
+	s.run(5 * time.Second)
+	s.store.down = true
+	old := s.live()
+	for i, n := range old {
+		s.boot(i / 2)
+		s.run(2 * time.Minute)
+		n.leave()
+		s.run(3 * time.Minute)
+		is.True(n.left)
+		is.True(s.allActive(r))
+		is.True(s.allHeld())
+	}
+	s.store.down = false
+	s.run(time.Minute)
+	is.True(s.allActive(r))
+	is.True(s.allHeld())
+	r = s.store.edit("a", "after")
+	s.run(5 * time.Second)
+	is.True(s.allActive(r))
+	s.noFaults(t)
+}
+
+// Guards against a killed holder whose shard is taken too early or never, also
+// when its row expired long before.
+func TestKilledHolder(t *testing.T) {
+	for _, outage := range []time.Duration{0, 2 * time.Minute} {
+		t.Run(fmt.Sprint("outage ", outage), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(6, 2, 2)
+			fleet(t, s, 3)
+			s.store.down = outage > 0
+			s.run(outage)
+			var victim *node
+			for _, n := range s.live() {
+				if len(n.held) > 0 {
+					victim = n
+				}
+			}
+			victim.kill()
+			s.run(time.Second)
+			s.store.down = false
+			took := s.until(3*time.Minute, s.allHeld)
+			t.Logf("taken after %v", took)
+			is.True(took >= s.quarantine())
+			is.True(took < 60*time.Second)
+			s.noFaults(t)
+		})
+	}
+}
+
+// Guards against a paused holder that goes on with a shard that may have
+// another holder, and against one that never gets it back.
+func TestPausedHolder(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration
+		down  bool
+		// kept tells that no shard changes its holder.
+		kept bool
+	}{
+		{"short", 5 * time.Second, false, true},
+		{"long", 15 * time.Second, false, true},
+		{"long in an outage", 15 * time.Second, true, true},
+		{"longer than the quarantine", 2 * time.Minute, false, false},
+		{"longer than the quarantine in an outage", 2 * time.Minute, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(7, 2, 2)
+			fleet(t, s, 3)
+			if c.down {
+				s.store.down = true
+				s.run(20 * time.Second)
+			}
+			var holder *node
+			for _, n := range s.live() {
+				if len(n.held) > 0 {
+					holder = n
+				}
+			}
+			shard := holder.held[0]
+			holder.pause(c.pause)
+			s.run(c.pause + 10*time.Second)
+			is.Equal(len(holder.held) > 0 && holder.held[0].Shard == shard.Shard, c.kept)
+			s.store.down = false
+			s.run(2 * time.Minute)
+			is.True(s.allHeld())
+			s.noFaults(t)
+		})
+	}
+}
+
+// Guards against a departure that leaves its shard to the quarantine.
+func TestDepartureHandsOver(t *testing.T) {
+	is := is.New(t)
+	s := newSim(8, 2, 2)
+	fleet(t, s, 2)
+	s.boot(0)
+	s.run(5 * time.Second)
+	leaver := s.all[0]
+	is.Equal(len(leaver.held), 1)
+	leaver.leave()
+	took := s.until(time.Minute, func() bool { return leaver.left && s.allHeld() })
+	t.Logf("handed over after %v", took)
+	is.True(took < 2*time.Second)
+	s.noFaults(t)
+}
+
+// Guards against an instance that keeps several shards beside one that has
+// none, and against shards without a holder when instances are few.
+func TestShardsAreShared(t *testing.T) {
+	is := is.New(t)
+	s := newSim(9, 1, 4)
+	fleet(t, s, 1)
+	is.Equal(len(s.all[0].held), 4)
+	s.run(time.Minute)
+	is.Equal(len(s.all[0].held), 4) // the write budget allows to hold several
+	s.boot(0)
+	s.run(30 * time.Second)
+	is.Equal(len(s.all[0].held), 2)
+	is.Equal(len(s.all[1].held), 2)
+	s.noFaults(t)
+}
--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -45,10 +45,10 @@
 	}
 	live, died := 0, 0
 	since := now.Add(-max(view.Quarantine, lease.DefaultQuarantine))
-	for _, r := range e.members.Recent(since) {
+	e.members.Recent(since, func(r *member.Record, goneSince time.Time) {
 		m := lease.Mate{
 			ID: string(r.ID), Address: r.Address,
-			Leaving: r.State == member.Leaving, Gone: r.State.Gone(),
+			Leaving: r.State == member.Leaving, Gone: r.State.Gone(), GoneSince: goneSince,
 		}
 		for _, s := range r.Shards {
 			m.Shards = append(m.Shards, lease.Claim{Index: s.Index, Epoch: s.Epoch})
@@ -59,7 +59,7 @@
 		} else {
 			live++
 		}
-	}
+	})
 	view.Isolated = view.Down && live == 0 && died > 0
 	return view
 }
@@ -207,7 +207,7 @@
 	case *LeaseConfirmAnswer:
 		e.keeper.Confirmed(m.Shard, m.Epoch, m.Round, id, m.Unchanged, now)
 	case *LeaseHandover:
-		accepted := e.keeper.Handover(m.Shard, m.Epoch, m.Row, m.Version, m.Sent, now)
+		accepted := e.keeper.Handover(m.Shard, m.Epoch, id, m.Row, m.Version, m.Sent, now)
 		e.reply(from, &LeaseHandoverAnswer{Shard: m.Shard, Epoch: m.Epoch, Accepted: accepted})
 	case *LeaseHandoverAnswer:
 		e.keeper.HandoverAnswered(m.Shard, m.Epoch, id, m.Accepted, now)
--- a/core/lease/hand.go
+++ b/core/lease/hand.go
@@ -21,13 +21,13 @@
 	if k.view.Leaving {
 		drained = k.view.Drained.After(s.takenAt)
 	}
-	if !drained || s.write.inFlight || s.uncertain {
-		return
+	if drained {
+		k.passOn(s, now)
 	}
-	k.passOn(s, now)
 }
 
-// passOn chooses the next holder.
+// passOn chooses the next holder. A renewal with an unknown outcome does not
+// matter to it: the row then names this instance with an epoch that it accepts.
 func (k *Keeper) passOn(s *slot, now time.Time) {
 	successor := k.successor(s)
 	switch {
@@ -113,7 +113,7 @@
 }
 
 // Handover takes a shard that a mate passes on, and tells whether it accepts.
-func (k *Keeper) Handover(index uint16, epoch uint64, row Row, version uint64, sent, now time.Time) bool {
+func (k *Keeper) Handover(index uint16, epoch uint64, from string, row Row, version uint64, sent, now time.Time) bool {
 	if int(index) >= len(k.slots) {
 		return false
 	}
@@ -130,6 +130,7 @@
 	}
 	s.acceptedAt = epoch
 	s.basis = row
+	s.from = from
 	s.row, s.version, s.known = row, version, true
 	s.epoch = epoch
 	s.takenAt = now
--- a/core/lease/hold.go
+++ b/core/lease/hold.go
@@ -104,7 +104,7 @@
 	if version < s.version || s.write.inFlight || !sent.After(s.write.sent) && s.uncertain {
 		return // Older than what is known.
 	}
-	s.row, s.version, s.known = row, version, true
+	s.row, s.version, s.known, s.readAt = row, version, true, sent
 	wasUncertain := s.uncertain
 	s.uncertain = false
 	if s.state == idle {
@@ -132,6 +132,9 @@
 	if s.row.Holder == k.self && s.row.Epoch == s.epoch {
 		return !s.row.Released || s.state == releasing
 	}
+	if s.from != "" && s.row.Holder == s.from && s.row.Epoch < s.epoch {
+		return !s.row.Released
+	}
 	return s.row.Holder == s.basis.Holder && s.row.Epoch == s.basis.Epoch &&
 		s.basis.Holder != "" && !s.row.Released
 }
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -62,13 +62,16 @@
 	known   bool
 	row     Row
 	version uint64
+	readAt  time.Time
 
 	epoch     uint64
 	takenAt   time.Time
 	confirmed time.Time
 	changed   time.Time
-	// basis is the row under which a mate handed the shard over.
+	// basis is the row under which a mate handed the shard over, from that
+	// mate, whose last renewal may show up in the row later.
 	basis Row
+	from  string
 
 	write     write
 	uncertain bool
@@ -105,9 +108,10 @@
 	ID      string
 	Address string
 	Leaving bool
-	// Gone is set for one that died lately.
-	Gone   bool
-	Shards []Claim
+	// Gone is set for one that died lately, at GoneSince.
+	Gone      bool
+	GoneSince time.Time
+	Shards    []Claim
 }
 
 // Claim is a shard that an instance says it uses.
@@ -156,6 +160,8 @@
 	view    View
 	asked   time.Time
 	reading bool
+	// since is when this instance started or last ended a pause.
+	since time.Time
 	// uneven is since when a mate holds at least two shards fewer.
 	uneven time.Time
 	out    []Output
@@ -203,8 +209,8 @@
 }
 
 // New returns a Keeper that holds nothing.
-func New(self, address string) *Keeper {
-	return &Keeper{self: self, address: address}
+func New(self, address string, now time.Time) *Keeper {
+	return &Keeper{self: self, address: address, since: now}
 }
 
 // Held returns the shards that this instance uses.
@@ -327,6 +333,7 @@
 
 // Paused tells the Keeper that this instance had a gap in its ticks.
 func (k *Keeper) Paused(gap time.Duration, now time.Time) {
+	k.since = now
 	for i := range k.slots {
 		s := &k.slots[i]
 		s.silent = time.Time{}
--- a/core/lease/take.go
+++ b/core/lease/take.go
@@ -5,11 +5,17 @@
 	"time"
 )
 
-const probeInterval = 1 * time.Second
+const (
+	probeInterval = 1 * time.Second
+	// rowLife is how long a read row counts. A write on an older one fails, but
+	// an instance that tries it denies a paused holder the confirmation.
+	rowLife = readInterval + 5*time.Second
+)
 
 // tryTake takes a shard that nobody uses.
 func (k *Keeper) tryTake(s *slot, now time.Time) {
-	if k.view.Leaving || !k.view.Fresh || !s.known || s.uncertain || s.write.inFlight || k.busy() {
+	current := s.known && now.Sub(s.readAt) < rowLife
+	if k.view.Leaving || !k.view.Fresh || !current || s.uncertain || s.write.inFlight || k.busy() {
 		s.takeable = time.Time{}
 		return
 	}
@@ -94,13 +100,8 @@
 // the expiry may be long past when it dies, and a holder that is paused for
 // less than MaxGap goes on afterwards without asking.
 func (k *Keeper) lapsed(s *slot, now time.Time) bool {
-	if k.usedLately(s) {
-		s.silent = time.Time{}
-		s.unused = nil
-		return false
-	}
 	if s.silent.IsZero() {
-		s.silent = now
+		s.silent = k.silentSince(s, now)
 		s.unused = map[string]time.Time{}
 	}
 	ending := now.Sub(s.silent) >= k.view.Quarantine
@@ -111,15 +112,20 @@
 	return k.allUnused(s, now)
 }
 
-// usedLately tells whether an instance that is alive, or died within the
-// quarantine, says that it uses the shard.
-func (k *Keeper) usedLately(s *slot) bool {
+// silentSince is the start of a window: now, or the death of the last instance
+// that used the shard if this instance saw it.
+func (k *Keeper) silentSince(s *slot, now time.Time) time.Time {
+	since := time.Time{}
 	for i := range k.view.Mates {
-		if k.view.Mates[i].claims(s.index) {
-			return true
+		m := &k.view.Mates[i]
+		if m.claims(s.index) && m.GoneSince.After(since) {
+			since = m.GoneSince
 		}
 	}
-	return false
+	if since.Before(k.since) {
+		return now
+	}
+	return since
 }
 
 // probe asks the previous holder during the window, and all mates at its end.
--- a/core/member/detector.go
+++ b/core/member/detector.go
@@ -11,7 +11,7 @@
 const (
 	period         = 500 * time.Millisecond
 	indirectAfter  = 150 * time.Millisecond
-	suspectAfter   = 300 * time.Millisecond
+	suspectAfter   = 200 * time.Millisecond
 	suspicion      = 1 * time.Second
 	repingInterval = 200 * time.Millisecond
 	indirectPeers  = 3
@@ -99,8 +99,9 @@
 	lastDigest time.Time
 	lastRevive time.Time
 	zones      []zone
-	news       bool
-	tokens     float64
+	// eager is in how many ticks news are still passed on at once.
+	eager  int
+	tokens float64
 
 	version    uint64
 	deaths     uint64
@@ -157,7 +158,7 @@
 
 func (d *Detector) selfChanged() {
 	d.self.Incarnation++
-	d.news = true
+	d.eager = eagerTicks
 	d.version++
 }
 
@@ -196,20 +197,20 @@
 	return mates
 }
 
-// Recent returns the instances of the own zone that are alive, or that were
+// Recent calls f for the instances of the own zone that are alive, or that were
 // until the given time and did not leave.
-func (d *Detector) Recent(since time.Time) []Record {
-	var recent []Record
+func (d *Detector) Recent(since time.Time, f func(r *Record, goneSince time.Time)) {
 	for i := range d.entries {
 		e := &d.entries[i]
 		if e.Zone != d.self.Zone || e.State == Left {
 			continue
 		}
-		if !e.State.Gone() || e.goneSince.After(since) {
-			recent = append(recent, e.Record)
+		if !e.State.Gone() {
+			f(&e.Record, time.Time{})
+		} else if e.goneSince.After(since) {
+			f(&e.Record, e.goneSince)
 		}
 	}
-	return recent
 }
 
 // LiveCount returns the number of live instances with this one.
@@ -292,3 +293,6 @@
 		i--
 	}
 }
+
+// FalseDeaths counts how often others declared this instance dead.
+func (d *Detector) FalseDeaths() uint64 { return d.falseDeath }
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -5,12 +5,14 @@
 	"time"
 )
 
-// Bounds of the eager gossip: news go to fanout instances at the next tick, at
-// most gossipRate messages a second on average.
+// Bounds of the eager gossip: news go to fanout instances in each of the next
+// eagerTicks ticks, at most gossipRate messages a second on average. One tick
+// leaves a fifth of a zone uninformed until its next ping.
 const (
 	fanout      = 3
+	eagerTicks  = 3
 	gossipRate  = 4.0
-	gossipBurst = 20.0
+	gossipBurst = 30.0
 	// transmitFactor times log2(n) transmissions reach all with high
 	// probability.
 	transmitFactor = 3
@@ -133,7 +135,7 @@
 // spread marks a record as news.
 func (d *Detector) spread(e *entry) {
 	e.transmits = d.transmitCount()
-	d.news = true
+	d.eager = eagerTicks
 	d.version++
 }
 
@@ -181,10 +183,10 @@
 // instance of another zone.
 func (d *Detector) sendNews(elapsed time.Duration, out []Output) []Output {
 	d.tokens = min(gossipBurst, d.tokens+gossipRate*elapsed.Seconds())
-	if !d.news || d.tokens < fanout {
+	if d.eager == 0 || d.tokens < fanout {
 		return out
 	}
-	d.news = false
+	d.eager--
 	d.tokens -= fanout
 	out = d.gossipTo(true, fanout-1, out)
 	return d.gossipTo(false, 1, out)
