--- /dev/null
+++ b/entry/steer.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/traffic"
+	"pistachioford.example/pistachioford/telemetry"
+	"pistachioford.example/pistachioford/upstream"
+)
+
+// Broadcaster sends news to other instances. Its methods are called with the
+// engine locked: they must not block and must not call Steer directly.
+type Broadcaster interface {
+	Poison(traffic.BroadcastPoison)
+	Leaving(traffic.BroadcastLeaving)
+}
+
+// Steer guards the traffic engine and passes its actions to the goroutines of
+// the requests. It is safe for concurrent use.
+type Steer struct {
+	targets   *upstream.Pools
+	peers     *upstream.Pools
+	broadcast Broadcaster
+
+	mu       sync.Mutex
+	engine   *traffic.Engine
+	document *document.Compiled
+	forward  map[traffic.InstanceID]string
+	requests map[traffic.RequestID]*request
+	lastID   traffic.RequestID
+}
+
+// NewSteer returns a Steer around engine, which it then owns.
+func NewSteer(engine *traffic.Engine, targets, peers *upstream.Pools, b Broadcaster) *Steer {
+	return &Steer{
+		targets:   targets,
+		peers:     peers,
+		broadcast: b,
+		engine:    engine,
+		requests:  map[traffic.RequestID]*request{},
+	}
+}
+
+// Handle passes an event to the engine and its actions on.
+func (s *Steer) Handle(ev traffic.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch(s.engine.Handle(time.Now(), ev))
+}
+
+// Tick runs the engine's systems; the daemon calls it every 10 ms.
+func (s *Steer) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch(s.engine.Tick(time.Now()))
+}
+
+// SetDocument puts a document in force.
+func (s *Steer) SetDocument(doc *document.Compiled) {
+	s.targets.Keep(connectionLimits(doc))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.document = doc
+	s.dispatch(s.engine.Handle(time.Now(), traffic.DocumentChanged{Document: doc}))
+}
+
+// SetPeers replaces the live peers; forward holds their forward addresses.
+func (s *Steer) SetPeers(peers []traffic.PeerInfo, forward map[traffic.InstanceID]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forward = forward
+	s.dispatch(s.engine.Handle(time.Now(), traffic.PeersChanged{Peers: peers}))
+}
+
+// HandleFor passes an event that refers to targets of doc, unless another
+// document is in force by now.
+func (s *Steer) HandleFor(doc *document.Compiled, ev traffic.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.document == doc {
+		s.dispatch(s.engine.Handle(time.Now(), ev))
+	}
+}
+
+// InFlight returns the number of requests that the engine knows.
+func (s *Steer) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+// arrive starts a request; its goroutine then waits on the inbox.
+func (s *Steer) arrive(r *request, ev traffic.RequestArrived) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	r.id = s.lastID
+	ev.ID = r.id
+	s.requests[r.id] = r
+	s.dispatch(s.engine.Handle(time.Now(), ev))
+}
+
+// dispatch is called with the engine locked, since the actions are valid only
+// until its next call.
+func (s *Steer) dispatch(actions []traffic.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case traffic.Send:
+			s.send(a)
+		case traffic.Forward:
+			s.forwardTo(a)
+		case traffic.CancelExchange:
+			s.cancel(a)
+		case traffic.Reply:
+			s.put(a.ID, step{reply: &a})
+		case traffic.Release:
+			s.put(a.ID, step{release: true})
+			delete(s.requests, a.ID)
+		case traffic.BroadcastPoison:
+			s.broadcast.Poison(a)
+		case traffic.BroadcastLeaving:
+			s.broadcast.Leaving(a)
+		case traffic.Count:
+			telemetry.Count(a)
+		}
+	}
+}
+
+func (s *Steer) put(id traffic.RequestID, next step) {
+	if r := s.requests[id]; r != nil {
+		r.inbox <- next
+	}
+}
+
+func (s *Steer) send(a traffic.Send) {
+	s.start(a.ID, &attempt{
+		number:       a.Attempt,
+		deadline:     a.Deadline,
+		pool:         s.targets.Get(a.Address),
+		shedStatuses: s.shedStatuses(a.Target),
+	})
+}
+
+func (s *Steer) forwardTo(a traffic.Forward) {
+	try := &attempt{number: a.Attempt, deadline: a.Deadline, forward: &a}
+	if address := s.forward[a.Peer]; address != "" {
+		try.pool = s.peers.Get(address)
+	}
+	s.start(a.ID, try)
+}
+
+func (s *Steer) start(id traffic.RequestID, try *attempt) {
+	if r := s.requests[id]; r != nil {
+		r.current = try
+		r.inbox <- step{attempt: try}
+	}
+}
+
+func (s *Steer) cancel(a traffic.CancelExchange) {
+	r := s.requests[a.ID]
+	if r == nil || r.current == nil || r.current.number != a.Attempt {
+		return
+	}
+	r.current.exchange.Cancel()
+	r.stopUpload()
+}
+
+func (s *Steer) shedStatuses(id document.TargetID) []int {
+	if s.document == nil || int(id) >= len(s.document.Targets) {
+		return nil
+	}
+	return s.document.Groups[s.document.Targets[id].Group].ShedStatuses
+}
+
+// connectionLimits gives each instance its part of a target's connections.
+func connectionLimits(doc *document.Compiled) map[string]int {
+	limits := make(map[string]int, len(doc.Targets))
+	for i := range doc.Targets {
+		t := &doc.Targets[i]
+		shards := max(int(doc.Zones[t.Zone].Shards), 1)
+		part := max(int(t.Connections)/shards, int(t.Slots), 1)
+		limits[t.Address] += part
+	}
+	return limits
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"net/netip"
+	"strings"
+
+	"pistachioford.example/core/control"
+	"pistachioford.example/core/document"
+)
+
+// Sites finds the site of a client address.
+type Sites interface {
+	Locate(address netip.Addr) (document.SiteID, bool)
+}
+
+// View is what the control side last published. It is immutable.
+type View struct {
+	// Document is nil until one is active.
+	Document *document.Compiled
+	// Peers are the other live instances.
+	Peers []control.Peer
+	// Held are the shards of this instance.
+	Held []control.HeldShard
+	// Leaving is set when this instance is leaving.
+	Leaving bool
+	// Sites is nil if the document has no client blocks.
+	Sites Sites
+}
+
+// Self identifies this instance.
+type Self struct {
+	ID     string
+	Zone   string
+	Region string
+	// Callers is the address given to callers.
+	Callers string
+}
+
+// match returns the service with the longest path prefix; a service that names
+// the host goes before one for all hosts.
+func match(doc *document.Compiled, host, path string) (document.ServiceID, bool) {
+	best, found := document.ServiceID(0), false
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if !covers(s, host, path) {
+			continue
+		}
+		if !found || narrower(s, &doc.Services[best]) {
+			best, found = document.ServiceID(i), true
+		}
+	}
+	return best, found
+}
+
+func covers(s *document.Service, host, path string) bool {
+	if s.Host != "" && !strings.EqualFold(s.Host, host) {
+		return false
+	}
+	return strings.HasPrefix(path, s.PathPrefix)
+}
+
+func narrower(a, b *document.Service) bool {
+	if (a.Host != "") != (b.Host != "") {
+		return a.Host != ""
+	}
+	return len(a.PathPrefix) > len(b.PathPrefix)
+}
+
+// regionByName returns -1 for an unknown region.
+func regionByName(doc *document.Compiled, name string) int {
+	for i := range doc.Regions {
+		if doc.Regions[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func zoneByName(doc *document.Compiled, name string) (document.ZoneID, bool) {
+	for i := range doc.Zones {
+		if doc.Zones[i].Name == name {
+			return document.ZoneID(i), true
+		}
+	}
+	return 0, false
+}
+
+// homeRegion returns the region of a client's block, or -1.
+func (v *View) homeRegion(client netip.Addr) int {
+	if v.Sites == nil || v.Document == nil {
+		return -1
+	}
+	site, ok := v.Sites.Locate(client)
+	if !ok || int(site) >= len(v.Document.Sites) {
+		return -1
+	}
+	zone := v.Document.Sites[site].Zone
+	return int(v.Document.Zones[zone].Region)
+}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -34,11 +34,13 @@
 // Stream is the body of a large answer.
 type Stream struct {
 	body io.Reader
-	// finish is called once, with nil after the whole body was read.
-	finish func(error)
-	done   bool
-	whole  bool
-	err    error
+	// release ends the use of the connection; nil means the whole body was read.
+	release func(error)
+	// ended reports the end to the owner of the exchange.
+	ended func(error)
+	done  bool
+	whole bool
+	err   error
 }
 
 // Read returns io.EOF only after the whole declared body.
@@ -62,10 +64,18 @@
 	if !s.whole && s.err == nil {
 		s.err = errAbandoned
 	}
-	s.finish(s.err)
+	s.release(s.err)
+	s.ended(s.err)
 	return nil
 }
 
+// Cut closes the connection of a stream that will not be read, without a call
+// of onEnd.
+func (s *Stream) Cut() {
+	s.done = true
+	s.release(errAbandoned)
+}
+
 // exactReader reads exactly left bytes and reports an early end as an error.
 type exactReader struct {
 	reader io.Reader
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -81,8 +81,8 @@
 		return Ending{Result: traffic.NotSent, Err: err}
 	}
 	if !x.bind(use.conn, deadline) {
-		use.end(use.conn.written > 0)
-		return Ending{Result: x.failure(use.conn, errAbandoned), Err: errAbandoned}
+		use.end(false)
+		return Ending{Result: traffic.NotSent, Err: errAbandoned}
 	}
 	reader := p.host.AcquireReader(use.conn)
 	answer, rest, err := x.roundTrip(p, use.conn, reader, header, body)
@@ -101,8 +101,7 @@
 		finish(nil)
 		return Ending{Result: traffic.Completed, Answer: answer}
 	}
-	answer.Stream = &Stream{body: rest, finish: func(err error) {
-		finish(err)
+	answer.Stream = &Stream{body: rest, release: finish, ended: func(err error) {
 		onEnd(x.streamResult(use.conn, err))
 	}}
 	return Ending{Result: traffic.Completed, Answer: answer}
