--- a/core/control/event.go
+++ b/core/control/event.go
@@ -141,6 +141,7 @@
 	Region  string
 	Address string // IP:port of the peer port
 	Caller  string // IP:port of the callers' port
+	Forward string // IP:port of the port for requests from peers
 	Shards  []document.ShardID
 	Leaving bool
 	// Unreachable is set when the whole zone of the peer does not answer.
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -28,6 +28,7 @@
 	Region      string
 	Address     string // IP:port of the peer port
 	Caller      string // IP:port of the callers' port
+	Forward     string // IP:port of the port for requests from peers
 	Incarnation uint64
 	State       State
 	// Shards are the shards of its own zone that the instance uses.
