--- a/core/control/config.go
+++ b/core/control/config.go
@@ -15,6 +15,8 @@
 	// Address is the peer address, Caller the callers' address of the instance.
 	Address string
 	Caller  string
+	// Forward is the address for requests from peers.
+	Forward string
 	// Seeds are peer addresses to join by; they may be stale or empty.
 	Seeds []string
 	// Seed makes the random choices of the Engine.
--- a/core/control/engine.go
+++ b/core/control/engine.go
@@ -29,7 +29,7 @@
 // New returns an Engine that knows no peer and no document.
 func New(c Config) *Engine {
 	self := member.Record{
-		ID: c.ID, Zone: c.Zone, Region: c.Region, Address: c.Address, Caller: c.Caller,
+		ID: c.ID, Zone: c.Zone, Region: c.Region, Address: c.Address, Caller: c.Caller, Forward: c.Forward,
 	}
 	return &Engine{
 		config:   c,
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -82,7 +82,7 @@
 	var peers []Peer
 	e.members.Live(func(r *member.Record) {
 		peers = append(peers, Peer{
-			ID: r.ID, Zone: r.Zone, Region: r.Region, Address: r.Address, Caller: r.Caller,
+			ID: r.ID, Zone: r.Zone, Region: r.Region, Address: r.Address, Caller: r.Caller, Forward: r.Forward,
 			Shards:      e.shardIDs(r),
 			Leaving:     r.State == member.Leaving,
 			Unreachable: e.members.Unreachable(r.Zone),
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -27,7 +27,7 @@
 
 func (r *Record) valid() bool {
 	return r.ID != "" && len(r.ID) <= maxName && len(r.Zone) <= maxName &&
-		len(r.Region) <= maxName && len(r.Address) <= maxName && len(r.Caller) <= maxName &&
+		len(r.Region) <= maxName && len(r.Address) <= maxName && len(r.Caller) <= maxName && len(r.Forward) <= maxName &&
 		len(r.Shards) <= maxShards && r.Incarnation < maxIncarnation && r.State <= Left
 }
 
