Add the daemon: one instance composed from its settings

The control goroutine alone owns the control engine; everything that may be slow, such as the platform, runs beside it and answers by events.

--- /dev/null
+++ b/daemon/news.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachioford.example/core/control"
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/traffic"
+	"pistachioford.example/pistachioford/peer"
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
+	"pistachioford.example/pistachioford/upstream"
+)
+
+const (
+	// hintPeriod is how often free slots are told to peers.
+	hintPeriod = 200 * time.Millisecond
+	// hintPeers bounds the peers that get one hint, so that the control traffic
+	// of an instance does not grow with the fleet.
+	hintPeers = 12
+)
+
+// sendHints tells the free slots to all peers of a small fleet, or to a random
+// part of a large one.
+func (d *Daemon) sendHints() {
+	view := d.view.Load()
+	d.keepLinks(view)
+	load, revision := d.steer.Load()
+	if revision == 0 {
+		return
+	}
+	hint := peer.LoadHint{Revision: revision, Load: load}
+	for n, i := range rand.Perm(len(view.Peers)) {
+		if n == hintPeers {
+			return
+		}
+		if !view.Peers[i].Unreachable {
+			d.links.Load(view.Peers[i].Address, hint)
+		}
+	}
+}
+
+// broadcaster implements entry.Broadcaster.
+type broadcaster struct{ d *Daemon }
+
+// Poison tells all instances of the region.
+func (b broadcaster) Poison(a traffic.BroadcastPoison) {
+	view := b.d.view.Load()
+	suspect := peer.PoisonSuspect{
+		Fingerprint: a.Suspect.Fingerprint,
+		Target:      targetName(view.Document, a.Suspect.Target),
+		At:          a.Suspect.At,
+	}
+	telemetry.CountEvent("poison_suspected")
+	addresses := b.d.addressesOf(func(p *control.Peer) bool { return p.Region == b.d.self.Region })
+	b.d.links.Poison(addresses, suspect, a.Timeout, func() {
+		b.d.steer.Handle(traffic.BroadcastDone{ID: a.ID})
+	})
+}
+
+// Leaving tells all instances of the zone.
+func (b broadcaster) Leaving(a traffic.BroadcastLeaving) {
+	name := targetName(b.d.view.Load().Document, a.Leaving.Target)
+	telemetry.Event("upstream_leaving", telemetry.F("instance", b.d.self.ID), telemetry.F("target", name))
+	addresses := b.d.addressesOf(func(p *control.Peer) bool { return p.Zone == b.d.self.Zone })
+	b.d.links.Leaving(addresses, peer.LeavingUpstream{Target: name, Seen: a.Leaving.Seen})
+}
+
+func (d *Daemon) addressesOf(wanted func(*control.Peer) bool) []string {
+	var addresses []string
+	peers := d.view.Load().Peers
+	for i := range peers {
+		if !peers[i].Unreachable && wanted(&peers[i]) {
+			addresses = append(addresses, peers[i].Address)
+		}
+	}
+	return addresses
+}
+
+// receiver implements peer.Receiver.
+type receiver struct{ d *Daemon }
+
+// Control passes a message to the control goroutine.
+func (r receiver) Control(m control.Message) {
+	r.d.offer(control.MessageReceived{From: control.HeaderOf(m).Sender.ID, Message: m})
+}
+
+// Load drops hints for another revision, whose groups may be numbered
+// differently.
+func (r receiver) Load(hint peer.LoadHint) {
+	if doc := r.d.view.Load().Document; doc != nil && doc.Revision == hint.Revision {
+		r.d.steer.HandleFor(doc, hint.Load)
+	}
+}
+
+// Poison notes a suspect of a peer.
+func (r receiver) Poison(s peer.PoisonSuspect) {
+	doc := r.d.view.Load().Document
+	target, _ := targetByName(doc, s.Target)
+	r.d.steer.Handle(traffic.PoisonSuspected{Fingerprint: s.Fingerprint, Target: target, At: s.At})
+}
+
+// Leaving notes a leaving upstream that a peer saw.
+func (r receiver) Leaving(l peer.LeavingUpstream) {
+	doc := r.d.view.Load().Document
+	if target, known := targetByName(doc, l.Target); known {
+		r.d.steer.HandleFor(doc, traffic.TargetLeaving{Target: target, Seen: l.Seen})
+	}
+}
+
+func targetName(doc *document.Compiled, id document.TargetID) string {
+	if doc == nil || int(id) >= len(doc.Targets) {
+		return ""
+	}
+	return doc.Targets[id].Name
+}
+
+func targetByName(doc *document.Compiled, name string) (document.TargetID, bool) {
+	if doc == nil {
+		return 0, false
+	}
+	for i := range doc.Targets {
+		if doc.Targets[i].Name == name {
+			return document.TargetID(i), true
+		}
+	}
+	return 0, false
+}
+
+// polled returns the upstreams of the own zone: only holders of its shards
+// send work to them.
+func (d *Daemon) polled(doc *document.Compiled) map[string]document.TargetID {
+	targets := map[string]document.TargetID{}
+	for i := range doc.Targets {
+		t := &doc.Targets[i]
+		if doc.Zones[t.Zone].Name == d.self.Zone {
+			targets[t.Address] = document.TargetID(i)
+		}
+	}
+	return targets
+}
+
+// reported takes what an upstream's health endpoint said.
+func (d *Daemon) reported(r upstream.Report) {
+	doc := d.view.Load().Document
+	if doc == nil || int(r.Target) >= len(doc.Targets) || doc.Targets[r.Target].Address != r.Address {
+		return
+	}
+	if r.HasLoad {
+		d.steer.HandleFor(doc, traffic.LoadReported{Target: r.Target, Utilization: r.Utilization, At: r.At})
+	}
+	d.sign(doc, r.Target, signHealth, r.Leaving, r.At)
+}
+
+// noteListed takes the signs of the platform's instance list.
+func (d *Daemon) noteListed(instances []platform.Instance) {
+	doc := d.view.Load().Document
+	if doc == nil {
+		return
+	}
+	byAddress := d.polled(doc)
+	for _, i := range instances {
+		target, known := byAddress[i.Address]
+		if known && i.Role == platform.RoleUpstream {
+			d.sign(doc, target, signListed, i.Leaving, time.Now())
+		}
+	}
+}
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -21,10 +21,11 @@
 	headerHome         = "Pistachioford-Home-Region"
 	headerToOwner      = "Pistachioford-To-Owner"
 	headerShiftCharged = "Pistachioford-Shift-Charged"
+	headerRuns         = "Pistachioford-Runs"
 	valueTrue          = "1"
 )
 
-var betweenInstances = []string{headerFrom, headerFromRegion, headerHome, headerToOwner, headerShiftCharged}
+var betweenInstances = []string{headerFrom, headerFromRegion, headerHome, headerToOwner, headerShiftCharged, headerRuns}
 
 // hopByHop are the fields that belong to one connection.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade", "Expect", "Proxy-Authenticate"}
@@ -53,6 +54,7 @@
 	header.Del(upstream.HeaderReason)
 	header.Del(upstream.HeaderLeaving)
 	header.Del(headerReplayed)
+	header.Del(headerRuns)
 	header.ResetConnectionClose()
 }
 
@@ -86,6 +88,7 @@
 	setOptional(header, headerHome, origin.home)
 	setOptional(header, headerToOwner, flagValue(forward.ToOwner))
 	setOptional(header, headerShiftCharged, flagValue(forward.ShiftCharged))
+	header.Set(headerRuns, strconv.Itoa(int(forward.Runs)))
 }
 
 func setOptional(header *fasthttp.RequestHeader, name, value string) {
@@ -96,6 +99,15 @@
 	header.Set(name, value)
 }
 
+// runsOf returns the number of attempts that a peer states, 0 if none.
+func runsOf(value []byte) uint8 {
+	runs, err := strconv.ParseUint(string(value), 10, 8)
+	if err != nil {
+		return 0
+	}
+	return uint8(runs)
+}
+
 func flagValue(set bool) string {
 	if set {
 		return valueTrue
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -19,8 +20,13 @@
 	steer     *Steer
 	view      *atomic.Pointer[View]
 	bodyLimit int64
+	active    atomic.Int64
 }
 
+// Active returns the number of requests whose handler runs, those with a body
+// still on its way included.
+func (p *Proxy) Active() int { return int(p.active.Load()) }
+
 // NewProxy returns a Proxy that reads the published view.
 func NewProxy(self Self, steer *Steer, view *atomic.Pointer[View], bodyLimit int64) *Proxy {
 	return &Proxy{self: self, steer: steer, view: view, bodyLimit: bodyLimit}
@@ -47,10 +53,13 @@
 		FromRegion:   document.RegionID(from),
 		ToOwner:      len(header.Peek(headerToOwner)) > 0,
 		ShiftCharged: len(header.Peek(headerShiftCharged)) > 0,
+		Runs:         runsOf(header.Peek(headerRuns)),
 	})
 }
 
 func (p *Proxy) serve(ctx *fasthttp.RequestCtx, view *View, home int, forwarded *traffic.Forwarded) {
+	p.active.Add(1)
+	defer p.active.Add(-1)
 	arrived := traffic.RequestArrived{HomeRegion: home, Forwarded: forwarded}
 	request := &request{
 		inbox:  make(chan step, inboxSteps),
@@ -64,6 +73,9 @@
 	p.steer.arrive(request, arrived)
 	reply := request.run(p.steer)
 	p.answer(ctx, reply)
+	if forwarded != nil && reply != nil {
+		ctx.Response.Header.Set(headerRuns, strconv.Itoa(int(reply.Runs)))
+	}
 	if request.body.Rest != nil {
 		p.endUpload(ctx, request)
 	}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -11,10 +11,7 @@
 	"pistachioford.example/pistachioford/upstream"
 )
 
-// Values of the outcome header beside those that the client knows.
 const (
-	outcomeKeyReused = "key-reused"
-	outcomeBadKey    = "bad-key"
 	// statusGone is logged for a caller that left; nobody reads it.
 	statusGone = 499
 	// defaultRetryAfter is the hint of a refusal without one of its own.
@@ -44,9 +41,9 @@
 	case traffic.Unknown:
 		refuse(ctx, fasthttp.StatusGatewayTimeout, upstream.OutcomeUnknown, reply.Reason)
 	case traffic.KeyReused:
-		refuse(ctx, fasthttp.StatusUnprocessableEntity, outcomeKeyReused, traffic.ReasonKeyReused)
+		refuse(ctx, fasthttp.StatusUnprocessableEntity, upstream.OutcomeKeyReused, traffic.ReasonKeyReused)
 	case traffic.BadKey:
-		refuse(ctx, fasthttp.StatusBadRequest, outcomeBadKey, traffic.ReasonBadKey)
+		refuse(ctx, fasthttp.StatusBadRequest, upstream.OutcomeBadKey, traffic.ReasonBadKey)
 	}
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -138,6 +138,7 @@
 	}
 	report.Result = upstream.ClassifyPeer(answer)
 	report.Reason = reasonByName(answer.Header.Peek(upstream.HeaderReason))
+	report.Runs = runsOf(answer.Header.Peek(headerRuns))
 	report.Replayed = len(answer.Header.Peek(headerReplayed)) > 0
 }
 
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	forward  map[traffic.InstanceID]string
 	requests map[traffic.RequestID]*request
 	lastID   traffic.RequestID
+	// heldUntil is when the shards must no longer be used.
+	heldUntil time.Time
+	held      []traffic.HeldShard
 }
 
 // NewSteer returns a Steer around engine, which it then owns.
@@ -43,18 +47,35 @@
 	}
 }
 
+// handle is called with the engine locked. Shards whose time is up are dropped
+// first: after a pause of the process they may have another holder.
+func (s *Steer) handle(ev traffic.Event) {
+	now := time.Now()
+	s.dropLapsed(now)
+	s.dispatch(s.engine.Handle(now, ev))
+}
+
+func (s *Steer) dropLapsed(now time.Time) {
+	if len(s.held) > 0 && now.After(s.heldUntil) {
+		s.held = nil
+		s.dispatch(s.engine.Handle(now, traffic.ShardsChanged{}))
+	}
+}
+
 // Handle passes an event to the engine and its actions on.
 func (s *Steer) Handle(ev traffic.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch(s.engine.Handle(time.Now(), ev))
+	s.handle(ev)
 }
 
 // Tick runs the engine's systems; the daemon calls it every 10 ms.
 func (s *Steer) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch(s.engine.Tick(time.Now()))
+	now := time.Now()
+	s.dropLapsed(now)
+	s.dispatch(s.engine.Tick(now))
 }
 
 // SetDocument puts a document in force.
@@ -63,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.document = doc
-	s.dispatch(s.engine.Handle(time.Now(), traffic.DocumentChanged{Document: doc}))
+	s.handle(traffic.DocumentChanged{Document: doc})
 }
 
 // SetPeers replaces the live peers; forward holds their forward addresses.
@@ -71,7 +92,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forward = forward
-	s.dispatch(s.engine.Handle(time.Now(), traffic.PeersChanged{Peers: peers}))
+	s.handle(traffic.PeersChanged{Peers: peers})
+}
+
+// SetShards replaces the held shards, which must not be used after until.
+func (s *Steer) SetShards(held []traffic.HeldShard, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldUntil = until
+	if slices.Equal(s.held, held) {
+		return
+	}
+	s.held = held
+	s.dispatch(s.engine.Handle(time.Now(), traffic.ShardsChanged{Held: held}))
+}
+
+// Load returns the hint for peers and the revision that its groups refer to.
+func (s *Steer) Load() (traffic.PeerLoad, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.document == nil {
+		return traffic.PeerLoad{}, 0
+	}
+	return s.engine.Load(time.Now()), s.document.Revision
 }
 
 // HandleFor passes an event that refers to targets of doc, unless another
@@ -80,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.document == doc {
-		s.dispatch(s.engine.Handle(time.Now(), ev))
+		s.handle(ev)
 	}
 }
 
@@ -99,7 +142,7 @@
 	r.id = s.lastID
 	ev.ID = r.id
 	s.requests[r.id] = r
-	s.dispatch(s.engine.Handle(time.Now(), ev))
+	s.handle(ev)
 }
 
 // dispatch is called with the engine locked, since the actions are valid only
--- a/entry/view.go
+++ b/entry/view.go
@@ -76,6 +76,14 @@
 	return -1
 }
 
+// Zone returns the number of a zone in the document.
+func (v *View) Zone(name string) (document.ZoneID, bool) {
+	if v.Document == nil {
+		return 0, false
+	}
+	return zoneByName(v.Document, name)
+}
+
 func zoneByName(doc *document.Compiled, name string) (document.ZoneID, bool) {
 	for i := range doc.Zones {
 		if doc.Zones[i].Name == name {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -50,5 +50,5 @@
 		return
 	}
 	r.gone = true
-	s.dispatch(s.engine.Handle(time.Now(), traffic.RequestCanceled{ID: id}))
+	s.handle(traffic.RequestCanceled{ID: id})
 }
--- a/upstream/classify.go
+++ b/upstream/classify.go
@@ -14,9 +14,11 @@
 	HeaderOutcome  = "Pistachioford-Outcome"
 	HeaderReason   = "Pistachioford-Reason"
 	HeaderLeaving  = "Pistachioford-Leaving"
-	// OutcomeNotRun and OutcomeUnknown are values of HeaderOutcome.
-	OutcomeNotRun  = "not-run"
-	OutcomeUnknown = "unknown"
+	// Values of HeaderOutcome.
+	OutcomeNotRun    = "not-run"
+	OutcomeUnknown   = "unknown"
+	OutcomeKeyReused = "key-reused"
+	OutcomeBadKey    = "bad-key"
 )
 
 // Classify returns the result of a whole answer of an upstream.
@@ -39,6 +41,10 @@
 		return traffic.Shed
 	case OutcomeUnknown:
 		return traffic.UnknownAtPeer
+	case OutcomeKeyReused:
+		return traffic.KeyReusedAtPeer
+	case OutcomeBadKey:
+		return traffic.BadKeyAtPeer
 	default:
 		return traffic.Completed
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -54,9 +54,13 @@
 	return pollConn(rawOf(conn), unix.POLLRDHUP) != 0
 }
 
-// rawOf returns the descriptor below an optional TLS layer, or nil.
+// rawOf returns the descriptor below layers such as TLS, or nil.
 func rawOf(conn net.Conn) syscall.RawConn {
-	if layered, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for {
+		layered, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		conn = layered.NetConn()
 	}
 	holder, ok := conn.(syscall.Conn)
