--- a/cmd/pistachioford/main.go
+++ b/cmd/pistachioford/main.go
@@ -1,4 +1,71 @@
 // Command pistachioford is the entry daemon.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// commands are the subcommands with their flags.
+type commands struct {
+	parser                     *flaggy.Parser
+	run, check, demo, platform *flaggy.Subcommand
+	runFile, checkFile         string
+	listen                     string
+}
+
+func newCommands() *commands {
+	c := &commands{parser: flaggy.NewParser("pistachioford"), listen: "127.0.0.1:0"}
+	c.parser.Description = "entry daemon of the traffic steering system"
+	c.parser.ShowVersionWithVersionFlag = false
+
+	c.run = c.subcommand("run", "run one instance until SIGTERM")
+	c.run.String(&c.runFile, "s", "settings", "settings file")
+
+	c.check = c.subcommand("check-settings", "check a settings file")
+	c.check.AddPositionalValue(&c.checkFile, "FILE", 1, true, "settings file")
+
+	c.demo = c.subcommand("demo", "run a small fleet in one process")
+
+	c.platform = c.subcommand("platform", "run the stand-in of the platform alone, for tests")
+	c.platform.String(&c.listen, "l", "listen", "IP:port to listen on")
+	return c
+}
+
+func (c *commands) subcommand(name, description string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	c.parser.AttachSubcommand(sub, 1)
+	return sub
+}
+
+func run(args []string) int {
+	c := newCommands()
+	if err := c.parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	switch {
+	case c.run.Used:
+		return runDaemon(c.runFile)
+	case c.check.Used:
+		return checkSettings(c.checkFile)
+	case c.demo.Used:
+		return runDemo()
+	case c.platform.Used:
+		return runPlatform(c.listen)
+	}
+	c.parser.ShowHelp()
+	return exitSettings
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -251,3 +251,6 @@
 
 // View returns what the control side last published.
 func (d *Daemon) View() *entry.View { return d.view.Load() }
+
+// Peer returns the address of the peer port.
+func (d *Daemon) Peer() string { return d.peerAt }
--- /dev/null
+++ b/demo/document.go
@@ -0,0 +1,85 @@
+package demo
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Network of the sample document: three regions of two availability zones.
+var regions = []string{"gauteng", "kzn", "wcape"}
+
+const zonesPerRegion = 2
+
+// groups are the sample groups with the number of targets in each zone.
+var groups = []struct {
+	name    string
+	targets int
+}{{"stock", 2}, {"orders", 2}, {"documents", 1}}
+
+func zoneName(region string, index int) string {
+	return fmt.Sprintf("%s-%c", region, 'a'+index)
+}
+
+// networkText is the section of the team that owns the network.
+func networkText() string {
+	var text strings.Builder
+	text.WriteString("[document]\nlookup_ttl = \"10s\"\n")
+	for _, region := range regions {
+		fmt.Fprintf(&text, "[[region]]\nname = %q\n", region)
+		for i := range zonesPerRegion {
+			fmt.Fprintf(&text, "[[zone]]\nname = %q\nregion = %q\nshards = 2\n", zoneName(region, i), region)
+		}
+	}
+	for _, from := range regions {
+		for _, to := range regions {
+			if from != to {
+				fmt.Fprintf(&text, "[[link]]\nfrom = %q\nto = %q\nbudget = \"400MB/s\"\ndelay = \"35ms\"\n", from, to)
+			}
+		}
+	}
+	return text.String()
+}
+
+// servicesText is the section with the services and their groups.
+func servicesText() string {
+	var text strings.Builder
+	for _, g := range groups {
+		fmt.Fprintf(&text, "[[group]]\nname = %q\nshed_statuses = [429, 503]\n", g.name)
+	}
+	text.WriteString(`[[service]]
+name = "stock-lookup"
+path_prefix = "/stock"
+group = "stock"
+priority = "urgent"
+deadline = "30s"
+idempotent = true
+response_size = "4KiB"
+[[service]]
+name = "order-placement"
+path_prefix = "/orders"
+group = "orders"
+priority = "normal"
+deadline = "30s"
+idempotent = false
+response_size = "4KiB"
+[[service]]
+name = "document-upload"
+path_prefix = "/documents"
+group = "documents"
+priority = "background"
+deadline = "60s"
+idempotent = false
+response_size = "4KiB"
+`)
+	return text.String()
+}
+
+// targetsText is the section with the upstreams that were started.
+func targetsText(samples []*sample) string {
+	var text strings.Builder
+	for _, s := range samples {
+		fmt.Fprintf(&text, "[[target]]\nname = %q\ngroup = %q\nzone = %q\naddress = %q\nslots = 3\nconnections = 400\n",
+			s.name, s.group, s.zone, s.address())
+	}
+	return text.String()
+}
