--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http/httputil"
-	"os"
 	"sync"
 	"time"
 
@@ -146,13 +145,19 @@
 		return traffic.NotSent
 	case errors.Is(err, errCaller), canceled:
 		return traffic.CanceledByCaller
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case isTimeout(err):
 		return traffic.TimedOut
 	default:
 		return traffic.Broken
 	}
 }
 
+// isTimeout covers the errors of connections and of fasthttp.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (x *Exchange) streamResult(conn *countedConn, err error) traffic.Result {
 	switch {
 	case err == nil:
