--- a/core/traffic/admission.go
+++ b/core/traffic/admission.go
@@ -77,6 +77,10 @@
 		e.refuse(now, row, reason)
 		return
 	}
+	if !e.inTime(now, row, 0) {
+		e.refuse(now, row, ReasonDeadline)
+		return
+	}
 	if e.movePlanned(now, row) {
 		return
 	}
