--- /dev/null
+++ b/entry/proxy_test.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/core/control"
+	"pistachioford.example/core/traffic"
+	"pistachioford.example/pistachioford/upstream"
+)
+
+// do sends a request without following the usual pooling, so that each test
+// request has its own connection.
+func do(t *testing.T, method, url string, body io.Reader, headers ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(text)
+}
+
+// Guards against outcomes that do not tell a caller what happened.
+func TestOutcomes(t *testing.T) {
+	var runs atomic.Int32
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/orders/break":
+			runs.Add(1)
+			_ = ctx.Conn().Close()
+		case "/reads/shed":
+			ctx.SetStatusCode(503)
+		default:
+			ctx.Response.Header.Set(upstream.HeaderOutcome, "forged")
+			ctx.Response.Header.Add("Set-Cookie", "a=1")
+			ctx.Response.Header.Add("Set-Cookie", "b=2")
+			ctx.SetBodyString("hello")
+		}
+	})
+	one := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+	empty := newInstance(t, "empty", "a", "north", nil)
+	tests := []struct {
+		name, method, url string
+		headers           []string
+		status            int
+		outcome, reason   string
+	}{
+		{name: "answered", url: one.url("/reads/x"), status: 200},
+		{name: "not sent twice", method: "POST", url: one.url("/orders/break"), status: 504, outcome: "unknown", reason: "broken"},
+		{name: "shed", url: one.url("/reads/shed"), status: 503, outcome: "not-run", reason: "attempts"},
+		{name: "no service", url: one.url("/other"), status: 503, outcome: "not-run", reason: "no_service"},
+		{name: "no document", url: empty.url("/reads/x"), status: 503, outcome: "not-run", reason: "no_document"},
+		{name: "bad key", method: "POST", url: one.url("/orders/x"), headers: []string{headerKey, "nozone.0." + newKey(t)}, status: 400, outcome: "bad-key", reason: "bad_key"},
+		{name: "deadline passed", url: one.url("/reads/x"), headers: []string{upstream.HeaderDeadline, "1"}, status: 503, outcome: "not-run", reason: "deadline"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			response, body := do(t, test.method, test.url, nil, test.headers...)
+			is.Equal(response.StatusCode, test.status)
+			is.Equal(response.Header.Get(upstream.HeaderOutcome), test.outcome)
+			is.Equal(response.Header.Get(upstream.HeaderReason), test.reason)
+			is.Equal(response.Header.Get("Retry-After") != "", test.outcome == "not-run")
+			if test.status == 200 {
+				is.Equal(body, "hello")
+				is.Equal(len(response.Header.Values("Set-Cookie")), 2)
+			}
+		})
+	}
+	is.New(t).Equal(runs.Load(), int32(1)) // a broken order was sent once
+}
+
+// Guards against a second run of a keyed request, and against the answer of
+// one request under the key of another.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) {
+		runs.Add(1)
+		ctx.SetStatusCode(201)
+		ctx.SetBodyString("order 1")
+	})
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+	key := "a.0." + newKey(t)
+	for n := range 2 {
+		response, body := do(t, "POST", i.url("/orders/x"), strings.NewReader("coal"), headerKey, key)
+		is.Equal(response.StatusCode, 201)
+		is.Equal(body, "order 1")
+		is.Equal(response.Header.Get(headerReplayed) == "true", n == 1)
+	}
+	response, _ := do(t, "POST", i.url("/orders/x"), strings.NewReader("wood"), headerKey, key)
+	is.Equal(response.StatusCode, 422)
+	is.Equal(runs.Load(), int32(1))
+}
+
+// Guards against requests that are lost or changed on the way through a peer,
+// and against callers who pass as peers.
+func TestForwarding(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan *fasthttp.RequestHeader, 1)
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) {
+		kept := &fasthttp.RequestHeader{}
+		ctx.Request.Header.CopyTo(kept)
+		seen <- kept
+		ctx.SetBody(ctx.Request.Body())
+	})
+	doc := testDocument(t, true, address)
+	near := newInstance(t, "near", "a", "north", doc)
+	far := newInstance(t, "far", "b", "north", doc)
+	zone, _ := zoneByName(doc, "b")
+	near.steer.SetPeers([]traffic.PeerInfo{{ID: "far", Zone: zone, Shards: shardIDs(allShards(doc, "b"))}},
+		map[traffic.InstanceID]string{"far": far.forward.Address()})
+
+	for _, size := range []int{0, 1000, 300 << 10} {
+		sent := bytes.Repeat([]byte("x"), size)
+		response, body := do(t, "POST", near.url("/reads/a%20b?q=1"), bytes.NewReader(sent), headerFrom, "forged", "X-Own", "kept")
+		is.Equal(response.Header.Get(upstream.HeaderReason), "")
+		is.Equal(response.StatusCode, 200)
+		is.Equal(len(body), size)
+		is.Equal(response.Header.Get(headerRuns), "")
+		got := <-seen
+		is.Equal(string(got.RequestURI()), "/reads/a%20b?q=1")
+		is.Equal(string(got.Peek("X-Own")), "kept")
+		is.Equal(string(got.Peek(headerFrom)), "")
+		is.True(!callerDeadline(got).IsZero())
+	}
+}
+
+// Guards against a shutdown that cuts an upload, large or small, of which a
+// part has arrived.
+func TestShutdownFinishesUploads(t *testing.T) {
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(ctx.Request.Body()) })
+	for _, size := range []int{1000, 200 << 10} {
+		is := is.New(t)
+		i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+		conn, err := net.Dial("tcp", i.callers.Address())
+		is.NoErr(err)
+		defer conn.Close()
+		payload := bytes.Repeat([]byte("y"), size)
+		request, _ := http.NewRequest("POST", i.url("/orders/x"), bytes.NewReader(payload))
+		var wire bytes.Buffer
+		is.NoErr(request.Write(&wire))
+		half := wire.Len() - size/2
+		_, err = conn.Write(wire.Bytes()[:half])
+		is.NoErr(err)
+		for i.proxy.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- i.leave(context.Background()) }()
+		time.Sleep(150 * time.Millisecond) // until the listener is closed
+		_, err = conn.Write(wire.Bytes()[half:])
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), request)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, 200)
+		is.True(response.Close) // Connection: close
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(len(body), size)
+		is.NoErr(<-ended)
+	}
+}
+
+// Guards against work for a caller that has gone.
+func TestCallerGoneCancelsTheExchange(t *testing.T) {
+	is := is.New(t)
+	listener := loopback(t)
+	defer listener.Close()
+	closed := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn)
+		close(closed)
+	}()
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, listener.Addr().String()))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, "GET", i.url("/reads/x"), nil)
+	_, err := http.DefaultClient.Do(request)
+	is.True(err != nil)
+	select {
+	case <-closed:
+	case <-time.After(time.Second): // the deadline of the service is 2 s
+		t.Fatal("the exchange went on")
+	}
+}
+
+// Guards against lookups that name instances which must not be used.
+func TestLookup(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(t, false, "127.0.0.1:1")
+	i := newInstance(t, "one", "a", "north", doc)
+	peers := []control.Peer{
+		{ID: "far", Zone: "b", Region: "south", Caller: "127.0.0.1:2", Shards: shardIDs(allShards(doc, "b"))},
+		{ID: "leaving", Zone: "a", Region: "north", Caller: "127.0.0.1:3", Leaving: true},
+		{ID: "cut off", Zone: "b", Region: "south", Caller: "127.0.0.1:4", Unreachable: true},
+		{ID: "spare", Zone: "a", Region: "north", Caller: "127.0.0.1:5"},
+	}
+	held := []control.HeldShard{{Shard: allShards(doc, "a")[1].Shard}}
+	for _, leaving := range []bool{false, true} {
+		i.view.Store(&View{Document: doc, Peers: peers, Held: held, Leaving: leaving})
+		response, body := do(t, "GET", i.url(LookupPath+"?client=10.0.0.1"), nil)
+		is.Equal(response.StatusCode, 200)
+		var answer LookupAnswer
+		is.NoErr(json.Unmarshal([]byte(body), &answer))
+		is.Equal(answer.TTLSeconds, 10)
+		is.Equal(answer.Revision, uint64(1))
+		if leaving {
+			is.Equal(answer.KeyPrefix, "b.0")
+			is.Equal(len(answer.Entries), 2)
+			continue
+		}
+		is.Equal(answer.KeyPrefix, "a.1")
+		is.Equal(answer.Entries, []LookupEntry{
+			{Address: "", Zone: "a", Region: "north"},
+			{Address: "127.0.0.1:2", Zone: "b", Region: "south"},
+			{Address: "127.0.0.1:5", Zone: "a", Region: "north"},
+		})
+	}
+	response, _ := do(t, "GET", i.url(LookupPath+"?client=none"), nil)
+	is.Equal(response.StatusCode, 400)
+}
