--- a/cmd/pistachioford/main.go
+++ b/cmd/pistachioford/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 )
@@ -15,7 +17,11 @@
 	exitSettings = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	// A drain must go on when whoever read the log has gone.
+	signal.Ignore(syscall.SIGPIPE)
+	os.Exit(run(os.Args[1:]))
+}
 
 // commands are the subcommands with their flags.
 type commands struct {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -24,7 +24,7 @@
 		case event := <-d.events:
 			d.act(d.engine.Handle(time.Now(), event))
 		case now := <-ticker.C:
-			if d.view.Load().Leaving {
+			if d.closed.Load() {
 				d.act(d.engine.Handle(now, control.InFlight{Requests: d.inFlight()}))
 			}
 			d.act(d.engine.Tick(time.Now()))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,9 +57,12 @@
 	departed chan struct{}
 	stop     chan struct{}
 	stopped  atomic.Bool
-	loops    conc.WaitGroup
-	servers  conc.WaitGroup
-	calls    conc.WaitGroup
+	// closed is set once no more requests can arrive; only then may the last
+	// request be the last.
+	closed  atomic.Bool
+	loops   conc.WaitGroup
+	servers conc.WaitGroup
+	calls   conc.WaitGroup
 
 	// engine and signs belong to the control goroutine once it runs.
 	engine *control.Engine
--- a/daemon/leave.go
+++ b/daemon/leave.go
@@ -40,6 +40,7 @@
 	d.announce()
 	sleep(ctx, lingerTime)
 	err := d.shutdown(ctx)
+	d.closed.Store(true)
 	d.awaitDeparture()
 	telemetry.Event("left", telemetry.F("instance", d.self.ID))
 	return err
