--- a/entry/headers.go
+++ b/entry/headers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,13 @@
 	valueTrue          = "1"
 )
 
+// ownFields are those that only this system may set; the deadline is not among
+// them, since callers may state one.
+var ownFields = []string{
+	headerFrom, headerFromRegion, headerHome, headerToOwner, headerShiftCharged, headerRuns,
+	upstream.HeaderOutcome, upstream.HeaderReason, upstream.HeaderLeaving, headerReplayed,
+}
+
 var betweenInstances = []string{headerFrom, headerFromRegion, headerHome, headerToOwner, headerShiftCharged, headerRuns}
 
 // hopByHop are the fields that belong to one connection.
@@ -33,11 +41,11 @@
 // cleanRequest prepares the header of a request for sending on. It changes the
 // header in place: the request belongs to the handler.
 func cleanRequest(header *fasthttp.RequestHeader) {
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-	for _, name := range betweenInstances {
-		header.Del(name)
+	for name := range header.All() {
+		if dropped(name) {
+			deleteAll(header.Del)
+			break
+		}
 	}
 	header.ResetConnectionClose()
 	header.SetProtocol("HTTP/1.1")
@@ -47,17 +55,38 @@
 // cleanAnswer removes what belongs to the connection of the upstream, and what
 // only this system may say.
 func cleanAnswer(header *fasthttp.ResponseHeader) {
-	for _, name := range hopByHop {
-		header.Del(name)
+	for name := range header.All() {
+		if dropped(name) {
+			deleteAll(header.Del)
+			break
+		}
 	}
-	header.Del(upstream.HeaderOutcome)
-	header.Del(upstream.HeaderReason)
-	header.Del(upstream.HeaderLeaving)
-	header.Del(headerReplayed)
-	header.Del(headerRuns)
 	header.ResetConnectionClose()
 }
 
+func deleteAll(del func(string)) {
+	for _, name := range hopByHop {
+		del(name)
+	}
+	for _, name := range ownFields {
+		del(name)
+	}
+}
+
+// dropped tells whether a field in normal form is among those to delete. Most
+// headers have none, and one pass is cheaper than a search for each name.
+func dropped(name []byte) bool {
+	if len(name) == 0 {
+		return false
+	}
+	switch name[0] {
+	case 'C', 'K', 'P', 'T', 'U', 'E', 'I':
+		return slices.Contains(hopByHop, string(name)) || slices.Contains(ownFields, string(name))
+	default:
+		return false
+	}
+}
+
 func setDeadline(header *fasthttp.RequestHeader, deadline time.Time) {
 	var buffer [20]byte
 	header.SetBytesV(upstream.HeaderDeadline, strconv.AppendInt(buffer[:0], deadline.UnixMilli(), 10))
@@ -65,7 +94,11 @@
 
 // callerDeadline returns the zero time if the caller stated no valid deadline.
 func callerDeadline(header *fasthttp.RequestHeader) time.Time {
-	millis, err := strconv.ParseInt(string(header.Peek(upstream.HeaderDeadline)), 10, 64)
+	value := header.Peek(upstream.HeaderDeadline)
+	if len(value) == 0 {
+		return time.Time{}
+	}
+	millis, err := strconv.ParseInt(string(value), 10, 64)
 	if err != nil || millis <= 0 {
 		return time.Time{}
 	}
@@ -74,8 +107,8 @@
 
 // setForwarding adds the fields for a peer, or removes those of an earlier
 // attempt.
-func setForwarding(header *fasthttp.RequestHeader, forward *traffic.Forward, origin origin) {
-	if forward == nil {
+func setForwarding(header *fasthttp.RequestHeader, try *attempt, origin *origin) {
+	if !try.forwarded {
 		if origin.marked {
 			for _, name := range betweenInstances {
 				header.Del(name)
@@ -83,12 +116,13 @@
 		}
 		return
 	}
+	origin.marked = true
 	header.Set(headerFrom, origin.self.ID)
 	header.Set(headerFromRegion, origin.self.Region)
 	setOptional(header, headerHome, origin.home)
-	setOptional(header, headerToOwner, flagValue(forward.ToOwner))
-	setOptional(header, headerShiftCharged, flagValue(forward.ShiftCharged))
-	header.Set(headerRuns, strconv.Itoa(int(forward.Runs)))
+	setOptional(header, headerToOwner, flagValue(try.forward.ToOwner))
+	setOptional(header, headerShiftCharged, flagValue(try.forward.ShiftCharged))
+	header.Set(headerRuns, strconv.Itoa(int(try.forward.Runs)))
 }
 
 func setOptional(header *fasthttp.RequestHeader, name, value string) {
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"strconv"
@@ -61,17 +62,16 @@
 	p.active.Add(1)
 	defer p.active.Add(-1)
 	arrived := traffic.RequestArrived{HomeRegion: home, Forwarded: forwarded}
-	request := &request{
-		inbox:  make(chan step, inboxSteps),
-		conn:   ctx.Conn(),
-		header: &ctx.Request.Header,
-		origin: origin{self: p.self, home: regionName(view.Document, home)},
-	}
+	request := newRequest(ctx.Conn(), &ctx.Request.Header)
+	request.origin = origin{self: &p.self, home: regionName(view.Document, home)}
 	if view.Document != nil && !p.prepare(ctx, view.Document, request, &arrived) {
 		return
 	}
+	if arrived.Key == "" {
+		request.spare = answers.Get().(*upstream.Answer)
+	}
 	p.steer.arrive(request, arrived)
-	reply := request.run(p.steer)
+	reply, released := request.run(p.steer)
 	p.answer(ctx, reply)
 	if forwarded != nil && reply != nil {
 		ctx.Response.Header.Set(headerRuns, strconv.Itoa(int(reply.Runs)))
@@ -82,12 +82,15 @@
 	if p.view.Load().Leaving {
 		ctx.SetConnectionClose()
 	}
+	if released {
+		request.recycle()
+	}
 }
 
 // prepare matches the request and reads its body. It returns false if it has
 // answered by itself.
 func (p *Proxy) prepare(ctx *fasthttp.RequestCtx, doc *document.Compiled, r *request, arrived *traffic.RequestArrived) bool {
-	id, found := match(doc, hostOf(ctx), string(ctx.Path()))
+	id, found := match(doc, hostOf(ctx), ctx.Path())
 	if !found {
 		telemetry.Count(traffic.Count{Kind: traffic.CountRefusal, Reason: traffic.ReasonNoService})
 		p.answer(ctx, &traffic.Reply{Outcome: traffic.NotRun, Reason: traffic.ReasonNoService})
@@ -145,12 +148,13 @@
 }
 
 // hostOf returns the host without its port.
-func hostOf(ctx *fasthttp.RequestCtx) string {
-	host := string(ctx.Host())
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
+func hostOf(ctx *fasthttp.RequestCtx) []byte {
+	host := ctx.Host()
+	colon := bytes.LastIndexByte(host, ':')
+	if colon < 0 || bytes.IndexByte(host[colon:], ']') >= 0 {
+		return host
 	}
-	return host
+	return host[:colon]
 }
 
 func regionName(doc *document.Compiled, region int) string {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -68,10 +68,20 @@
 		ctx.Response.Header.SetContentLength(answer.Length)
 	default:
 		ctx.Response.Header.Del(fasthttp.HeaderTransferEncoding)
-		ctx.Response.SetBodyRaw(answer.Body)
+		setBody(ctx, answer.Body)
 	}
 }
 
+// setBody copies a small body, whose memory is then free, and refers to a large
+// one.
+func setBody(ctx *fasthttp.RequestCtx, body []byte) {
+	if cap(body) <= maxRecycledBytes {
+		ctx.Response.SetBody(body)
+		return
+	}
+	ctx.Response.SetBodyRaw(body)
+}
+
 // refuse writes an outcome that is not an upstream's answer.
 func refuse(ctx *fasthttp.RequestCtx, status int, outcome string, reason traffic.Reason) {
 	ctx.Response.Reset()
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -157,9 +157,9 @@
 		case traffic.CancelExchange:
 			s.cancel(a)
 		case traffic.Reply:
-			s.put(a.ID, step{reply: &a})
+			s.put(a.ID, step{kind: stepReply, reply: a})
 		case traffic.Release:
-			s.put(a.ID, step{release: true})
+			s.put(a.ID, step{kind: stepRelease})
 			delete(s.requests, a.ID)
 		case traffic.BroadcastPoison:
 			s.broadcast.Poison(a)
@@ -178,27 +178,35 @@
 }
 
 func (s *Steer) send(a traffic.Send) {
-	s.start(a.ID, &attempt{
-		number:       a.Attempt,
-		deadline:     a.Deadline,
-		pool:         s.targets.Get(a.Address),
-		shedStatuses: s.shedStatuses(a.Target),
-	})
+	r := s.requests[a.ID]
+	if r == nil {
+		return
+	}
+	try := r.nextAttempt()
+	try.number, try.deadline = a.Attempt, a.Deadline
+	try.pool = s.targets.Get(a.Address)
+	try.shedStatuses = s.shedStatuses(a.Target)
+	r.start(try)
 }
 
 func (s *Steer) forwardTo(a traffic.Forward) {
-	try := &attempt{number: a.Attempt, deadline: a.Deadline, forward: &a}
+	r := s.requests[a.ID]
+	if r == nil {
+		return
+	}
+	try := r.nextAttempt()
+	try.number, try.deadline = a.Attempt, a.Deadline
+	try.forwarded, try.forward = true, a
 	if address := s.forward[a.Peer]; address != "" {
 		try.pool = s.peers.Get(address)
 	}
-	s.start(a.ID, try)
+	r.start(try)
 }
 
-func (s *Steer) start(id traffic.RequestID, try *attempt) {
-	if r := s.requests[id]; r != nil {
-		r.current = try
-		r.inbox <- step{attempt: try}
-	}
+// start is called with the engine locked.
+func (r *request) start(try *attempt) {
+	r.current = try
+	r.inbox <- step{kind: stepAttempt, attempt: try}
 }
 
 func (s *Steer) cancel(a traffic.CancelExchange) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -38,7 +38,7 @@
 
 // match returns the service with the longest path prefix; a service that names
 // the host goes before one for all hosts.
-func match(doc *document.Compiled, host, path string) (document.ServiceID, bool) {
+func match(doc *document.Compiled, host, path []byte) (document.ServiceID, bool) {
 	best, found := document.ServiceID(0), false
 	for i := range doc.Services {
 		s := &doc.Services[i]
@@ -52,11 +52,11 @@
 	return best, found
 }
 
-func covers(s *document.Service, host, path string) bool {
-	if s.Host != "" && !strings.EqualFold(s.Host, host) {
+func covers(s *document.Service, host, path []byte) bool {
+	if s.Host != "" && !strings.EqualFold(s.Host, string(host)) {
 		return false
 	}
-	return strings.HasPrefix(path, s.PathPrefix)
+	return len(path) >= len(s.PathPrefix) && string(path[:len(s.PathPrefix)]) == s.PathPrefix
 }
 
 func narrower(a, b *document.Service) bool {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -4,6 +4,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/core/traffic"
 )
 
 // MaxHeldBytes is the largest answer that is read in full and checked before
@@ -23,6 +25,12 @@
 	Length int
 }
 
+// Reset prepares an answer that nobody refers to for another use.
+func (a *Answer) Reset() {
+	a.Header.Reset()
+	a.Body, a.Stream, a.Length = a.Body[:0], nil, 0
+}
+
 // Size implements traffic.Answer.
 func (a *Answer) Size() int {
 	if a.Stream != nil && a.Length < 0 {
@@ -33,14 +41,16 @@
 
 // Stream is the body of a large answer.
 type Stream struct {
-	body io.Reader
-	// release ends the use of the connection; nil means the whole body was read.
-	release func(error)
-	// ended reports the end to the owner of the exchange.
-	ended func(error)
-	done  bool
-	whole bool
-	err   error
+	// OnEnd is called once, when the stream is closed. It may be set until the
+	// first Read.
+	OnEnd func(traffic.Result)
+
+	body     io.Reader
+	exchange *Exchange
+	answer   *Answer
+	done     bool
+	whole    bool
+	err      error
 }
 
 // Read returns io.EOF only after the whole declared body.
@@ -64,18 +74,13 @@
 	if !s.whole && s.err == nil {
 		s.err = errAbandoned
 	}
-	s.release(s.err)
-	s.ended(s.err)
+	s.exchange.finish(s.answer, s.err)
+	if s.OnEnd != nil {
+		s.OnEnd(s.exchange.streamResult(s.err))
+	}
 	return nil
 }
 
-// Cut closes the connection of a stream that will not be read, without a call
-// of onEnd.
-func (s *Stream) Cut() {
-	s.done = true
-	s.release(errAbandoned)
-}
-
 // exactReader reads exactly left bytes and reports an early end as an error.
 type exactReader struct {
 	reader io.Reader
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -21,11 +21,16 @@
 type countedConn struct {
 	net.Conn
 	raw     syscall.RawConn
+	poll    poll
 	written int64
+	// end returns the connection to its pool, or closes it.
+	end func(reuse bool)
 }
 
 func newCountedConn(conn net.Conn) *countedConn {
-	return &countedConn{Conn: conn, raw: rawOf(conn)}
+	c := &countedConn{Conn: conn, raw: rawOf(conn)}
+	c.poll.prepare(unix.POLLIN | unix.POLLRDHUP)
+	return c
 }
 
 // Write is called by the goroutine of the exchange only.
@@ -44,14 +49,14 @@
 // pristine tells whether an idle connection is still open and silent. Bytes
 // that arrive without a request belong to no exchange, so such a connection
 // must not be used.
-func (c *countedConn) pristine() bool {
-	return pollConn(c.raw, unix.POLLIN|unix.POLLRDHUP) == 0
-}
+func (c *countedConn) pristine() bool { return !c.poll.pending(c.raw) }
 
 // CallerGone tells whether the other side has closed conn, without reading
 // from it. Any goroutine may call it.
 func CallerGone(conn net.Conn) bool {
-	return pollConn(rawOf(conn), unix.POLLRDHUP) != 0
+	var p poll
+	p.prepare(unix.POLLRDHUP)
+	return p.pending(rawOf(conn))
 }
 
 // rawOf returns the descriptor below layers such as TLS, or nil.
@@ -74,21 +79,33 @@
 	return raw
 }
 
-// pollConn returns the pending events of a connection without waiting; errors
-// and hang-ups are always included.
-func pollConn(raw syscall.RawConn, events int16) int16 {
+// poll asks for the pending events of a descriptor without waiting. It is kept
+// beside the connection, since a poll for each exchange would allocate.
+type poll struct {
+	fds    [1]unix.PollFd
+	events int16
+	failed bool
+	ask    func(fd uintptr)
+}
+
+// prepare sets the events; errors and hang-ups are always included.
+func (p *poll) prepare(events int16) {
+	p.events = events
+	p.ask = func(fd uintptr) {
+		p.fds[0] = unix.PollFd{Fd: int32(fd), Events: p.events}
+		_, err := unix.Poll(p.fds[:], 0)
+		p.failed = err != nil
+	}
+}
+
+// pending tells whether an event is pending, or the descriptor is closed. A
+// connection without a descriptor has none.
+func (p *poll) pending(raw syscall.RawConn) bool {
 	if raw == nil {
-		return 0
+		return false
 	}
-	var pending int16
-	err := raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
-		if _, err := unix.Poll(fds, 0); err == nil {
-			pending = fds[0].Revents
-		}
-	})
-	if err != nil {
-		return unix.POLLHUP
+	if raw.Control(p.ask) != nil {
+		return true
 	}
-	return pending
+	return !p.failed && p.fds[0].Revents != 0
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,11 +33,22 @@
 
 // Exchange is one attempt. Do is called once; Cancel by any goroutine.
 type Exchange struct {
+	// The goroutine of the exchange owns these.
+	pool   *Pool
+	use    *countedConn
+	reader *bufio.Reader
+
 	mu       sync.Mutex
 	conn     *countedConn
 	canceled bool
 }
 
+// Reset prepares a finished Exchange for another attempt. No goroutine may
+// still hold it.
+func (x *Exchange) Reset() {
+	x.pool, x.use, x.reader, x.conn, x.canceled = nil, nil, nil, nil, false
+}
+
 // Cancel makes the attempt fail and its connection close.
 func (x *Exchange) Cancel() {
 	x.mu.Lock()
@@ -72,57 +83,55 @@
 // errCaller marks an upload that its caller did not finish.
 var errCaller = errors.New("the caller did not finish its upload")
 
-// Do carries out the attempt. If the returned answer has a Stream, onEnd is
-// called once with the final result when the stream is closed.
-func (x *Exchange) Do(p *Pool, header *fasthttp.RequestHeader, body Body, deadline time.Time, onEnd func(traffic.Result)) Ending {
-	use, err := p.acquire(deadline)
+// Do carries out the attempt. If the returned answer has a Stream, the
+// exchange goes on until the stream is closed. It may use spare for the answer.
+func (x *Exchange) Do(p *Pool, header *fasthttp.RequestHeader, body Body, deadline time.Time, spare *Answer) Ending {
+	conn, err := p.acquire(deadline)
 	if err != nil {
 		return Ending{Result: traffic.NotSent, Err: err}
 	}
-	if !x.bind(use.conn, deadline) {
-		use.end(false)
+	if !x.bind(conn, deadline) {
+		conn.end(false)
 		return Ending{Result: traffic.NotSent, Err: errAbandoned}
 	}
-	reader := p.host.AcquireReader(use.conn)
-	answer, rest, err := x.roundTrip(p, use.conn, reader, header, body)
+	x.pool, x.use, x.reader = p, conn, p.host.AcquireReader(conn)
+	answer, rest, err := x.roundTrip(header, body, spare)
 	if err != nil {
-		x.unbind()
-		p.host.ReleaseReader(reader)
-		use.end(false)
-		return Ending{Result: x.failure(use.conn, err), Err: err}
-	}
-	finish := func(err error) {
-		reuse := x.unbind() && err == nil && reusable(answer, reader)
-		p.host.ReleaseReader(reader)
-		use.end(reuse)
+		x.finish(nil, err)
+		return Ending{Result: x.failure(conn, err), Err: err}
 	}
 	if rest == nil {
-		finish(nil)
+		x.finish(answer, nil)
 		return Ending{Result: traffic.Completed, Answer: answer}
 	}
-	answer.Stream = &Stream{body: rest, release: finish, ended: func(err error) {
-		onEnd(x.streamResult(use.conn, err))
-	}}
+	answer.Stream = &Stream{body: rest, exchange: x, answer: answer}
 	return Ending{Result: traffic.Completed, Answer: answer}
 }
 
+// finish ends the use of the connection.
+func (x *Exchange) finish(answer *Answer, err error) {
+	reuse := x.unbind() && err == nil && reusable(answer, x.reader)
+	x.pool.host.ReleaseReader(x.reader)
+	x.use.end(reuse)
+}
+
 // reusable tells whether the connection stands at the start of the next answer.
 func reusable(answer *Answer, reader *bufio.Reader) bool {
 	return reader.Buffered() == 0 && !answer.Header.ConnectionClose()
 }
 
-func (x *Exchange) roundTrip(p *Pool, conn *countedConn, reader *bufio.Reader, header *fasthttp.RequestHeader, body Body) (*Answer, io.Reader, error) {
-	writer := p.host.AcquireWriter(conn)
+func (x *Exchange) roundTrip(header *fasthttp.RequestHeader, body Body, spare *Answer) (*Answer, io.Reader, error) {
+	writer := x.pool.host.AcquireWriter(x.use)
 	err := writeRequest(writer, header, body)
-	p.host.ReleaseWriter(writer)
+	x.pool.host.ReleaseWriter(writer)
 	if errors.Is(err, errCaller) {
 		return nil, nil, err
 	}
-	if err != nil && conn.written == 0 {
+	if err != nil && x.use.written == 0 {
 		return nil, nil, err
 	}
 	// An upstream may answer before it has read the whole upload, and close.
-	answer, rest, readErr := readAnswer(reader, header.IsHead())
+	answer, rest, readErr := readAnswer(x.reader, header.IsHead(), spare)
 	if readErr != nil {
 		if err != nil {
 			readErr = err
@@ -158,14 +167,15 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func (x *Exchange) streamResult(conn *countedConn, err error) traffic.Result {
+// streamResult classifies the end of a streamed answer.
+func (x *Exchange) streamResult(err error) traffic.Result {
 	switch {
 	case err == nil:
 		return traffic.Completed
 	case errors.Is(err, errAbandoned):
 		return traffic.CanceledByCaller
 	default:
-		return x.failure(conn, err)
+		return x.failure(x.use, err)
 	}
 }
 
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -85,7 +85,7 @@
 
 func get(p *Pool, path string, timeout time.Duration) Ending {
 	var x Exchange
-	return x.Do(p, header("GET", path, 0), Body{}, time.Now().Add(timeout), func(traffic.Result) {})
+	return x.Do(p, header("GET", path, 0), Body{}, time.Now().Add(timeout), nil)
 }
 
 func header(method, path string, length int) *fasthttp.RequestHeader {
@@ -209,7 +209,7 @@
 	var x Exchange
 	ended := make(chan Ending)
 	go func() {
-		ended <- x.Do(pool, header("GET", "/", 0), Body{}, time.Now().Add(10*time.Second), func(traffic.Result) {})
+		ended <- x.Do(pool, header("GET", "/", 0), Body{}, time.Now().Add(10*time.Second), nil)
 	}()
 	for f.requests.Load() == 0 {
 		time.Sleep(time.Millisecond)
@@ -254,8 +254,9 @@
 		pool := NewPool(f.listener.Addr().String(), 4, DialPlain)
 		var x Exchange
 		ended := traffic.NotSent
-		ending := x.Do(pool, header("GET", "/", 0), Body{}, time.Now().Add(5*time.Second), func(r traffic.Result) { ended = r })
+		ending := x.Do(pool, header("GET", "/", 0), Body{}, time.Now().Add(5*time.Second), nil)
 		is.True(ending.Answer.Stream != nil)
+		ending.Answer.Stream.OnEnd = func(r traffic.Result) { ended = r }
 		n, err := io.Copy(io.Discard, ending.Answer.Stream)
 		is.NoErr(ending.Answer.Stream.Close())
 		is.Equal(n, int64(size-missing))
@@ -291,7 +292,7 @@
 		ended := make(chan Ending)
 		go func() {
 			body := Body{Held: []byte("ab"), Rest: reader, Length: 10}
-			ended <- x.Do(pool, header("POST", "/", 10), body, time.Now().Add(5*time.Second), func(traffic.Result) {})
+			ended <- x.Do(pool, header("POST", "/", 10), body, time.Now().Add(5*time.Second), nil)
 		}()
 		_, _ = writer.Write([]byte("cde"))
 		is.Equal(<-arrived, "abcde") // before the rest was sent
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -53,40 +53,37 @@
 // ends and the pool is no longer referenced.
 func (p *Pool) Close() { p.host.CloseIdleConnections() }
 
-// lease is the exclusive use of one connection.
-type lease struct {
-	conn *countedConn
-	// end returns the connection to the pool, or closes it.
-	end func(reuse bool)
-}
-
 // acquire returns an open connection on which nothing is pending.
-func (p *Pool) acquire(deadline time.Time) (lease, error) {
+func (p *Pool) acquire(deadline time.Time) (*countedConn, error) {
 	for {
 		wait := min(time.Until(deadline), dialTimeout)
 		if wait <= 0 {
-			return lease{}, fasthttp.ErrDialTimeout
+			return nil, fasthttp.ErrDialTimeout
 		}
 		pooled, err := p.host.AcquireConn(wait, false)
 		if err != nil {
-			return lease{}, err
+			return nil, err
 		}
 		conn, ok := pooled.Conn().(*countedConn)
 		if !ok {
 			p.host.CloseConn(pooled)
-			return lease{}, io.ErrNoProgress
+			return nil, io.ErrNoProgress
 		}
 		if conn.written > 0 && !conn.pristine() {
 			p.host.CloseConn(pooled)
 			continue
 		}
 		conn.written = 0
-		return lease{conn: conn, end: func(reuse bool) {
-			if reuse {
-				p.host.ReleaseConn(pooled)
-				return
+		if conn.end == nil {
+			// The pool keeps one wrapper for the life of a connection.
+			conn.end = func(reuse bool) {
+				if reuse {
+					p.host.ReleaseConn(pooled)
+					return
+				}
+				p.host.CloseConn(pooled)
 			}
-			p.host.CloseConn(pooled)
-		}}, nil
+		}
+		return conn, nil
 	}
 }
--- a/upstream/read.go
+++ b/upstream/read.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 )
@@ -21,8 +22,10 @@
 
 // readAnswer reads the header and, if the body is small enough, the body. For
 // a larger body it returns the rest as a reader.
-func readAnswer(br *bufio.Reader, head bool) (*Answer, io.Reader, error) {
-	answer := &Answer{}
+func readAnswer(br *bufio.Reader, head bool, answer *Answer) (*Answer, io.Reader, error) {
+	if answer == nil {
+		answer = &Answer{}
+	}
 	if err := readFinalHeader(br, &answer.Header); err != nil {
 		return nil, nil, err
 	}
@@ -63,7 +66,7 @@
 	if length > MaxHeldBytes {
 		return answer, &exactReader{reader: br, left: length}, nil
 	}
-	answer.Body = make([]byte, length)
+	answer.Body = slices.Grow(answer.Body[:0], length)[:length]
 	if _, err := io.ReadFull(br, answer.Body); err != nil {
 		return nil, nil, err
 	}
