--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -42,8 +42,8 @@
 	self := Self{ID: id, Zone: zone, Region: region}
 	i.proxy = NewProxy(self, i.steer, &i.view, testBodyLimit)
 	i.view.Store(&View{Document: doc})
-	i.callers = NewServer(loopback(t), CallerHandler(NewLookup(self, &i.view), i.proxy), 16<<10)
-	i.forward = NewServer(loopback(t), i.proxy.ServePeer, 16<<10)
+	i.callers = NewServer(Limit(loopback(t), 4096), CallerHandler(NewLookup(self, &i.view), i.proxy), 16<<10)
+	i.forward = NewServer(Limit(loopback(t), 4096), i.proxy.ServePeer, 16<<10)
 	if doc != nil {
 		i.steer.SetDocument(doc)
 		i.steer.SetShards(allShards(doc, zone), time.Now().Add(time.Hour))
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"pistachioford.example/pistachioford/telemetry"
 )
@@ -36,10 +37,33 @@
 	}
 }
 
+// limitedConn belongs to the goroutine of its connection, but for Close and
+// SetReadDeadline, which others may call too.
 type limitedConn struct {
 	net.Conn
 	listener *limitedListener
 	once     sync.Once
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+// deadlineStep is how much a later deadline may be missed by. The server sets
+// one twice for each request, and moving its timer costs as much as routing.
+const deadlineStep = time.Second
+
+// SetReadDeadline implements net.Conn; a deadline that is hardly later than the
+// one in force is left out.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !t.IsZero() && !c.deadline.IsZero() {
+		if later := t.Sub(c.deadline); later >= 0 && later < deadlineStep {
+			return nil
+		}
+	}
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Close implements net.Conn.
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,12 +10,10 @@
 )
 
 const (
-	// headerTimeout bounds the wait for the header of a request, so that slow
-	// senders do not hold connections.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than that of common clients, so that they close
-	// idle connections first and lose no request.
-	idleTimeout = 120 * time.Second
+	// readTimeout bounds the wait for a request, idle connections included, and
+	// the time to read its header. One value for both lets the deadline of a
+	// busy connection stay as it is.
+	readTimeout = 60 * time.Second
 	// prefetchedBytes is the part of a body that the server reads before it
 	// calls the handler; the handler reads the rest, so that it knows of every
 	// upload in progress.
@@ -36,8 +34,7 @@
 		MaxRequestBodySize:           prefetchedBytes,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
-		ReadTimeout:                  headerTimeout,
-		IdleTimeout:                  idleTimeout,
+		ReadTimeout:                  readTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		SecureErrorLogMessage:        true,
