--- /dev/null
+++ b/cmd/pistachioctl/main_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/platform/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"pistachioctl": main})
+}
+
+// TestSessions runs sessions of the command line against a stand-in each. They
+// guard against changed output, exit codes and effects.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
+		Setup: func(env *testscript.Env) error {
+			s, err := standin.Start(standin.Options{})
+			if err != nil {
+				return err
+			}
+			env.Defer(func() { _ = s.Close() })
+			env.Values["standin"] = s
+			env.Setenv(platformVariable, s.URL())
+			return copyExamples(env.WorkDir)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"faults":   setFaults,
+			"instance": startInstance,
+			"exits":    exits,
+		},
+	})
+}
+
+// copyExamples gives each session a copy of the examples to edit.
+func copyExamples(dir string) error {
+	return os.CopyFS(dir+"/examples", os.DirFS("../../examples"))
+}
+
+// setFaults is the command: faults none|down|lose N.
+func setFaults(ts *testscript.TestScript, _ bool, args []string) {
+	f := standin.Faults{Down: args[0] == "down"}
+	if args[0] == "lose" {
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		f.LoseResponses = n
+	}
+	ts.Value("standin").(*standin.Standin).SetFaults(f)
+}
+
+// startInstance is the command: instance ID ZONE REVISION. It lists an instance
+// and answers on its operators' port.
+func startInstance(ts *testscript.TestScript, _ bool, args []string) {
+	revision, err := strconv.ParseUint(args[2], 10, 64)
+	ts.Check(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app.Get("/v1/status", func(c *fiber.Ctx) error {
+		return c.JSON(map[string]any{"instance": args[0], "zone": args[1], "revision": revision})
+	})
+	go func() { _ = app.Listener(listener) }()
+	ts.Defer(func() { _ = app.Shutdown() })
+	c, err := platform.NewClient(platform.Config{URL: ts.Getenv(platformVariable)})
+	ts.Check(err)
+	defer c.Close()
+	ts.Check(c.Register(context.Background(), platform.Instance{
+		ID: args[0], Zone: args[1], Role: platform.RoleEntry, Operators: listener.Addr().String(),
+	}))
+}
+
+// exits is the command: exits CODE COMMAND... It runs the command and compares
+// its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	if err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%v", err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
