--- a/core/document/section.go
+++ b/core/document/section.go
@@ -30,6 +30,9 @@
 // Errors are all errors of a document, ordered by file and line.
 type Errors = toml.Errors
 
+// Error is one error of a document.
+type Error = toml.Error
+
 // Index tells operators' tools where things are defined. Instances do not need
 // it.
 type Index struct {
@@ -64,3 +67,18 @@
 	Manifest string
 	Origin   Origin
 }
+
+// Open returns the section of a TOML file. Its name and team are those that the
+// table [section] says; without a name it is the given one. A text that is no
+// TOML has no team, and Compile reports its errors.
+func Open(file, defaultName, text string) Section {
+	s := Section{Name: defaultName, File: file, Text: text}
+	root := toml.Parse(file, text, &toml.List{})
+	if root == nil {
+		return s
+	}
+	head := root.Table("section")
+	s.Name = name(head, "name", defaultName)
+	s.Team = name(head, "team", "")
+	return s
+}
