Test generated schedules of faults against an outside judge

The judge sees reverts, lost changes, two contents of a revision, two users of a shard and a use within the quarantine; a second test breaks one rule each to show that it does.

--- /dev/null
+++ b/core/control/schedule_test.go
@@ -0,0 +1,291 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pistachioford.example/core/revision"
+)
+
+// Figures of the generated schedules. The quarantine is the shortest that the
+// leases accept, so that a lapse fits into a schedule.
+const (
+	schedules       = 200
+	scheduleTick    = 100 * time.Millisecond
+	scheduleQuar    = 10 * time.Second
+	scheduleFaults  = 25 * time.Second
+	scheduleSettle  = 45 * time.Second
+	schedulePerZone = 2
+)
+
+// fault is one step of a schedule.
+type fault struct {
+	At   time.Duration
+	Kind int
+	Node int
+	Zone int
+	For  time.Duration
+}
+
+// Kinds of faults.
+const (
+	killAndReplace = iota
+	leaveAndReplace
+	pauseOne
+	pauseZone
+	cutZones
+	platformDown
+	platformSlow
+	platformLoses
+	zoneWithoutPlatform
+	editOne
+	editTwo
+	faultKinds
+)
+
+var pauses = []time.Duration{
+	500 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond,
+	5 * time.Second, 7900 * time.Millisecond, 9 * time.Second, 20 * time.Second, 30 * time.Second,
+}
+
+func drawSchedule(t *rapid.T) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			At:   time.Duration(rapid.IntRange(0, int(scheduleFaults/time.Millisecond)).Draw(t, "at")) * time.Millisecond,
+			Kind: rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
+			Node: rapid.IntRange(0, 7).Draw(t, "node"),
+			Zone: rapid.IntRange(0, 1).Draw(t, "zone"),
+			For:  rapid.SampledFrom(pauses).Draw(t, "for"),
+		}
+	}), 2, 10).Draw(t, "faults")
+}
+
+// editor applies changes as racing pistachioctl processes do.
+type editor struct {
+	s        *sim
+	accepted map[string]string
+	count    int
+	// blind leaves out the condition on the head.
+	blind bool
+}
+
+// edit reads the head and commits later; on a lost race it tries again. Each
+// change has a section of its own, so an accepted change must stay.
+func (e *editor) edit(zone string) {
+	e.count++
+	section := fmt.Sprint("s", e.count)
+	e.try(section, 3)
+}
+
+func (e *editor) try(section string, attempts int) {
+	p := &e.s.store
+	if p.down || attempts == 0 {
+		return
+	}
+	seen := p.rows[revision.HeadKey]
+	head := p.head()
+	e.s.after(time.Duration(20+e.s.random.IntN(200))*time.Millisecond, func() {
+		if e.blind {
+			p.rows[revision.HeadKey] = seen
+			head = p.head()
+		}
+		if p.down {
+			return
+		}
+		if p.apply(head, section, "x") == 0 {
+			e.try(section, attempts-1)
+			return
+		}
+		e.accepted[section] = "x"
+	})
+}
+
+// runSchedule runs one schedule and returns what the judge saw.
+func runSchedule(seed uint64, faults []fault, twist func(*sim, *editor)) []string {
+	s := newSim(seed, 2, 2)
+	s.tick = scheduleTick
+	s.quar = scheduleQuar
+	s.loss = 0.02
+	e := &editor{s: s, accepted: map[string]string{}}
+	s.store.edit("a", "1")
+	for z := range s.zones {
+		for range schedulePerZone {
+			s.boot(z)
+		}
+	}
+	if twist != nil {
+		twist(s, e)
+	}
+	s.run(4 * time.Second)
+	for _, f := range faults {
+		s.after(f.At, func() { s.inject(f, e) })
+	}
+	s.run(scheduleFaults + time.Second)
+	s.run(scheduleSettle)
+	s.judgeEnd(e)
+	return s.judge.faults
+}
+
+func (s *sim) inject(f fault, e *editor) {
+	live := s.live()
+	n := live[f.Node%len(live)]
+	zone := s.zones[f.Zone].Name
+	switch f.Kind {
+	case killAndReplace:
+		n.kill()
+		s.bootLike(n)
+	case leaveAndReplace:
+		s.bootLike(n)
+		n.leave()
+	case pauseOne:
+		n.pause(f.For)
+	case pauseZone:
+		for _, other := range live {
+			if other.zone == zone {
+				other.pause(f.For)
+			}
+		}
+	case cutZones:
+		pair := [2]string{s.zones[0].Name, s.zones[1].Name}
+		s.cut[pair] = true
+		s.after(f.For, func() { delete(s.cut, pair) })
+	case platformDown:
+		s.store.down = true
+		s.after(f.For, func() { s.store.down = false })
+	case platformSlow:
+		s.store.delay = time.Second
+		s.after(f.For, func() { s.store.delay = 10 * time.Millisecond })
+	case platformLoses:
+		s.store.loseAnswers = 0.5
+		s.after(f.For, func() { s.store.loseAnswers = 0 })
+	case zoneWithoutPlatform:
+		s.noPlat[zone] = true
+		s.after(f.For, func() { delete(s.noPlat, zone) })
+	case editOne:
+		e.edit(zone)
+	case editTwo:
+		e.edit(zone)
+		e.edit(zone)
+	}
+}
+
+// bootLike starts an instance in the zone of another one.
+func (s *sim) bootLike(n *node) {
+	for z := range s.zones {
+		if s.zones[z].Name == n.zone {
+			s.boot(z)
+		}
+	}
+}
+
+// judgeEnd looks for lost accepted changes and for a fleet that did not
+// recover.
+func (s *sim) judgeEnd(e *editor) {
+	head, err := revision.DecodeHead(s.store.rows[revision.HeadKey].Value)
+	if err != nil {
+		s.judge.fault("lost change: no head: %v", err)
+		return
+	}
+	for _, n := range s.live() {
+		if n.active == nil || n.active.Revision != head.Revision {
+			s.judge.fault("not recovered: %s does not have revision %d", n.id, head.Revision)
+			continue
+		}
+		for section, text := range e.accepted {
+			if !strings.Contains(n.active.Groups[0].Name, section+"="+text+";") {
+				s.judge.fault("lost change: %s on %s", section, n.id)
+			}
+		}
+	}
+	if !s.allHeld() {
+		s.judge.fault("not recovered: a shard has no holder")
+	}
+}
+
+// shrink removes faults as long as the schedule still fails.
+func shrink(seed uint64, faults []fault) []fault {
+	for i := 0; i < len(faults); {
+		shorter := append(append([]fault(nil), faults[:i]...), faults[i+1:]...)
+		if len(runSchedule(seed, shorter, nil)) > 0 {
+			faults = shorter
+			continue
+		}
+		i++
+	}
+	return faults
+}
+
+// Guards the invariants of the document and of the shards against any order of
+// restarts, pauses, partitions between zones, lost answers and racing editors.
+func TestGeneratedSchedules(t *testing.T) {
+	gen := rapid.Custom(drawSchedule)
+	var next, failed atomic.Int64
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for {
+				seed := next.Add(1)
+				if seed > schedules || failed.Load() > 3 {
+					return
+				}
+				faults := gen.Example(int(seed))
+				if seen := runSchedule(uint64(seed), faults, nil); len(seen) > 0 {
+					failed.Add(1)
+					small := shrink(uint64(seed), faults)
+					t.Errorf("seed %d: %q\n%+v\n%q", seed, seen, small, runSchedule(uint64(seed), small, nil))
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+const workers = 4
+
+// Shows that each observer of the judge can fail, by breaking one rule in the
+// simulation.
+func TestJudgeSeesBrokenRules(t *testing.T) {
+	edit := func(at time.Duration) fault { return fault{At: at, Kind: editOne} }
+	cases := []struct {
+		name, want string
+		faults     []fault
+		twist      func(*sim, *editor)
+	}{
+		{"gap in the ticks goes unnoticed", "two holders", []fault{
+			{At: time.Second, Kind: pauseOne, Node: 0, For: 30 * time.Second},
+		}, func(s *sim, _ *editor) { s.unnoticed = true }},
+		{"quarantine is too short", "quarantine", []fault{
+			{At: time.Second, Kind: killAndReplace, Node: 0},
+		}, func(s *sim, _ *editor) { s.judge.quarantine = time.Minute }},
+		{"acknowledgements are forged", "revert", []fault{
+			{At: time.Second, Kind: pauseOne, Node: 0, For: 900 * time.Millisecond},
+			{At: time.Second, Kind: cutZones, For: 20 * time.Second}, edit(time.Second),
+			{At: 1750 * time.Millisecond, Kind: platformDown, For: 20 * time.Second},
+			{At: 1800 * time.Millisecond, Kind: killAndReplace, Node: 1},
+		}, func(s *sim, _ *editor) { s.forged = true }},
+		{"an editor commits without the condition", "lost change", []fault{
+			{At: time.Second, Kind: editTwo}, {At: 3 * time.Second, Kind: editTwo},
+		}, func(_ *sim, e *editor) { e.blind = true }},
+		{"an editor commits without the condition", "two contents", []fault{
+			{At: time.Second, Kind: editTwo}, {At: 3 * time.Second, Kind: editTwo},
+		}, func(_ *sim, e *editor) { e.blind = true }},
+	}
+	for _, c := range cases {
+		t.Run(c.want, func(t *testing.T) {
+			for seed := range uint64(200) {
+				for _, f := range runSchedule(seed, c.faults, c.twist) {
+					if strings.Contains(f, c.want) {
+						return
+					}
+				}
+			}
+			t.Errorf("the judge never saw %q", c.want)
+		})
+	}
+}
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -38,6 +38,10 @@
 	messages, bytes uint64
 	size            func(Message) int
 	seeds           []string
+
+	// Broken rules, to show that the judge sees them: a pause that goes
+	// unnoticed, and acknowledgements that the receiver of an offer never sent.
+	unnoticed, forged bool
 }
 
 // node is one instance.
@@ -201,6 +205,9 @@
 		}
 		n.paused = false
 		n.s.judge.resumed(n)
+		if n.s.unnoticed {
+			n.engine.lastSeen = n.s.now
+		}
 		waiting := n.waiting
 		n.waiting = nil
 		for _, step := range waiting {
@@ -257,6 +264,10 @@
 		s.bytes += uint64(s.size(a.Message))
 	}
 	to := s.nodes[a.Address]
+	if offer, ok := a.Message.(*Offer); ok && s.forged && from.active != nil && to != nil {
+		s.forge(from, to, offer)
+		return
+	}
 	if to == nil || s.random.Float64() < s.loss {
 		return
 	}
@@ -274,6 +285,17 @@
 	})
 }
 
+// forge answers an offer in the name of its receiver.
+func (s *sim) forge(from, to *node, offer *Offer) {
+	ack := &Acknowledgement{
+		Header: Header{Sender: to.engine.members.Self(), Revision: 1}, Round: offer.Round,
+		Revision: offer.Head.Revision, Digest: offer.Head.Digest(), Held: offer.Head.Revision,
+	}
+	s.after(time.Millisecond, func() {
+		from.do(func() []Action { return from.engine.Handle(s.now, MessageReceived{Message: ack}) })
+	})
+}
+
 // platform is the fake table service, object store and instance list.
 type platform struct {
 	s       *sim
@@ -413,6 +435,8 @@
 	zoneMax  map[string]uint64
 	ends     map[document.ShardID]end
 	faults   []string
+	// quarantine overrides the one of the document.
+	quarantine time.Duration
 }
 
 // end is the last end of the use of a shard by an instance that may have had
@@ -473,6 +497,7 @@
 		j.ended(n, []HeldShard{h}, claims(claimed, h.Shard.Index) && !n.engine.leaving.started)
 	}
 	for _, h := range a.Held {
+		j.single(n, h.Shard)
 		if !holdsShard(before, h.Shard) {
 			j.begun(n, h)
 		}
@@ -498,7 +523,6 @@
 }
 
 func (j *judge) begun(n *node, h HeldShard) {
-	j.single(n, h.Shard)
 	last, ok := j.ends[h.Shard]
 	if ok && last.by != n.id && j.s.now.Sub(last.at) < j.s.quarantine() {
 		j.fault("quarantine: %s uses %v %v after %s", n.id, h.Shard, j.s.now.Sub(last.at), last.by)
@@ -539,6 +563,9 @@
 }
 
 func (s *sim) quarantine() time.Duration {
+	if s.judge.quarantine != 0 {
+		return s.judge.quarantine
+	}
 	if s.quar == 0 {
 		return lease.DefaultQuarantine
 	}
--- a/core/member/ping.go
+++ b/core/member/ping.go
@@ -19,6 +19,12 @@
 	if d.pinged == number {
 		return out
 	}
+	if d.pinged < number-1 {
+		// No tick fell between the phase of the last target and the end of its
+		// period.
+		d.pinged = number - 1
+		return d.startProbe(d.rotation(ids, number-1), now, out)
+	}
 	target := d.rotation(ids, number)
 	phase := time.Duration(hashID(target) % uint64(period-50*time.Millisecond))
 	if now.UnixNano()-number*int64(period) < int64(phase) {
