--- a/core/traffic/estimate.go
+++ b/core/traffic/estimate.go
@@ -13,7 +13,7 @@
 	estimateWeight = 0.1
 	// cautiousDeviations is how many mean deviations above the mean an exchange
 	// may take before its slot counts as wasted.
-	cautiousDeviations = 2
+	cautiousDeviations = 4
 	// maxWait stands for a wait without an end.
 	maxWait = time.Hour
 	// usualService stands for the time of an exchange before the first one.
