--- /dev/null
+++ b/core/traffic/bench_test.go
@@ -0,0 +1,75 @@
+package traffic
+
+import (
+	"testing"
+	"time"
+
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/idempotency"
+)
+
+// BenchmarkDecision measures a request from its arrival to its release: the
+// choice of a target among 20, the end of the exchange and the reply.
+func BenchmarkDecision(b *testing.B) {
+	e, now := benchEngine(20)
+	ev := RequestArrived{Service: readNormal, HomeRegion: 0, Replayable: true}
+	benchRequests(b, e, now, ev)
+}
+
+// BenchmarkDecisionKeyed measures the same for an order with a key.
+func BenchmarkDecisionKeyed(b *testing.B) {
+	e, now := benchEngine(20)
+	e.keys = idempotency.NewMemory(idempotency.Limits{Keys: b.N, Bytes: 1 << 40})
+	keys := make([]string, b.N)
+	for i := range keys {
+		keys[i] = keyAt("a1", i&1, now, i)
+	}
+	var answer Answer = testAnswer{}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		id := RequestID(i)
+		e.Handle(now, RequestArrived{ID: id, Service: order, Key: keys[i], HomeRegion: 0, Replayable: true})
+		e.Handle(now, ExchangeEnded{ID: id, Attempt: 1, Answer: answer, Latency: time.Millisecond})
+	}
+}
+
+// BenchmarkDecisionFull measures arrivals while all slots are busy and 100
+// requests wait: the estimate, the choice of no peer, and the queue.
+func BenchmarkDecisionFull(b *testing.B) {
+	e, now := benchEngine(20)
+	for i := range 60 + 100 {
+		e.Handle(now, RequestArrived{ID: RequestID(1<<40 + i), Service: readNormal, HomeRegion: 0})
+	}
+	var ev Event
+	b.ReportAllocs()
+	for i := range b.N {
+		id := RequestID(i)
+		ev = RequestArrived{ID: id, Service: readNormal, HomeRegion: 0}
+		e.Handle(now, ev)
+		e.Handle(now, RequestCanceled{id})
+	}
+}
+
+func benchEngine(targets int) (*Engine, time.Time) {
+	now := time.Unix(1_700_000_000, 0)
+	e := New(Config{Self: "p1", Zone: "a1"})
+	e.Handle(now, DocumentChanged{testDocument(targets)})
+	e.Handle(now, ShardsChanged{shardsOf(0, 0, 1)})
+	e.Handle(now, PeersChanged{[]PeerInfo{
+		{ID: "p2", Zone: 1, Shards: []document.ShardID{{Zone: 1}}},
+		{ID: "p3", Zone: 2, Shards: []document.ShardID{{Zone: 2}}},
+	}})
+	return e, now
+}
+
+func benchRequests(b *testing.B, e *Engine, now time.Time, ev RequestArrived) {
+	var answer Answer = testAnswer{}
+	b.ReportAllocs()
+	for i := range b.N {
+		ev.ID = RequestID(i)
+		now = now.Add(time.Millisecond)
+		e.Handle(now.Add(-time.Millisecond), ev)
+		e.Handle(now, ExchangeEnded{ID: ev.ID, Attempt: 1, Answer: answer, Latency: time.Millisecond})
+	}
+}
--- a/core/traffic/estimate.go
+++ b/core/traffic/estimate.go
@@ -23,15 +23,17 @@
 // estimate is the average time of an exchange and its mean deviation.
 type estimate struct{ mean, deviation float64 }
 
+// add takes a sample. All values stay at 1 ns or above: averages that decay
+// towards zero become denormal numbers, which are 100 times slower.
 func (s *estimate) add(sample time.Duration) {
-	x := float64(sample)
+	x := max(float64(sample), 1)
 	if s.mean == 0 {
-		s.mean = max(x, 1)
+		s.mean, s.deviation = x, 1
 		return
 	}
 	off := x - s.mean
 	s.mean += estimateWeight * off
-	s.deviation += estimateWeight * (math.Abs(off) - s.deviation)
+	s.deviation += estimateWeight * (max(math.Abs(off), 1) - s.deviation)
 }
 
 func (s *estimate) meanOr(usual time.Duration) float64 {
