--- a/core/control/engine.go
+++ b/core/control/engine.go
@@ -47,7 +47,7 @@
 // New returns an Engine that knows no peer and no document.
 func New(c Config) *Engine {
 	self := member.Record{
-		ID: c.ID, Zone: c.Zone, Region: c.Region, Address: c.Address, Caller: c.Caller,
+		ID: c.ID, Zone: c.Zone, Region: c.Region, Address: c.Address, Caller: c.Caller, Forward: c.Forward,
 	}
 	e := &Engine{
 		config:   c,
