--- /dev/null
+++ b/core/blocks/manifest.go
@@ -0,0 +1,84 @@
+package blocks
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Limits of a manifest.
+const (
+	maxChunks = 1 << 16
+	maxSites  = 1 << 16
+	// MaxBlocks bounds the memory of a table.
+	MaxBlocks = 4_000_000
+)
+
+// Manifest lists the chunks of one table in the order of their addresses, IPv4
+// first.
+type Manifest struct {
+	// Sites are the names that the numbers in the chunks stand for.
+	Sites  []string `json:"sites"`
+	Chunks []Entry  `json:"chunks"`
+}
+
+// Entry names a chunk.
+type Entry struct {
+	Hash   string `json:"hash"`
+	Blocks int    `json:"blocks"`
+}
+
+// ObjectName returns the name of a chunk or a manifest in the object store.
+func ObjectName(hash string) string { return "blocks/" + hash }
+
+// Encode returns the content and its hash, which names the manifest.
+func (m *Manifest) Encode() (data []byte, hash string) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // Manifest has no field that json.Marshal can refuse.
+	}
+	return data, contentHash(data)
+}
+
+// DecodeManifest verifies the content by its hash.
+func DecodeManifest(hash string, data []byte) (*Manifest, error) {
+	if contentHash(data) != hash {
+		return nil, fmt.Errorf("manifest %.12s: content does not have the hash", hash)
+	}
+	m := &Manifest{}
+	if err := json.Unmarshal(data, m); err != nil {
+		return nil, fmt.Errorf("manifest %.12s: %w", hash, err)
+	}
+	if len(m.Chunks) > maxChunks || len(m.Sites) > maxSites {
+		return nil, fmt.Errorf("manifest %.12s: too many chunks or sites", hash)
+	}
+	total := 0
+	for _, c := range m.Chunks {
+		if c.Blocks <= 0 || c.Blocks > maxChunk {
+			return nil, fmt.Errorf("manifest %.12s: a chunk of %d blocks", hash, c.Blocks)
+		}
+		total += c.Blocks
+	}
+	if total > MaxBlocks {
+		return nil, fmt.Errorf("manifest %.12s: %d blocks, more than %d", hash, total, MaxBlocks)
+	}
+	return m, nil
+}
+
+// Diff returns the hashes of the chunks that to lists and from does not; from
+// may be nil.
+func Diff(from, to *Manifest) []string {
+	have := map[string]bool{}
+	if from != nil {
+		for _, c := range from.Chunks {
+			have[c.Hash] = true
+		}
+	}
+	var missing []string
+	for _, c := range to.Chunks {
+		if !have[c.Hash] {
+			have[c.Hash] = true
+			missing = append(missing, c.Hash)
+		}
+	}
+	return missing
+}
--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,11 @@
 	compiled       *document.Compiled
 	compiledDigest string
 
+	// head is the last row read, headRow its value; most polls find it
+	// unchanged.
+	head    *revision.Head
+	headRow []byte
+
 	nextPoll time.Time
 	asked    time.Time
 	reported time.Time
@@ -85,11 +91,16 @@
 	if a.Err != nil || len(a.Rows) != 1 || a.Rows[0].Version == 0 {
 		return
 	}
-	head, err := revision.DecodeHead(a.Rows[0].Value)
-	if err != nil {
-		e.log("head refused", Field{"error", err.Error()})
-		return
+	d := &e.documents
+	if !bytes.Equal(d.headRow, a.Rows[0].Value) {
+		head, err := revision.DecodeHead(a.Rows[0].Value)
+		if err != nil {
+			e.log("head refused", Field{"error", err.Error()})
+			return
+		}
+		d.head, d.headRow = head, a.Rows[0].Value
 	}
+	head := d.head
 	e.store.FromPlatform(head, ended.sent, e.zoneView(), now)
 	e.carryOutDocuments(now)
 }
--- a/core/control/engine.go
+++ b/core/control/engine.go
@@ -32,6 +32,7 @@
 	join      join
 	documents documents
 	leases    leases
+	blocks    clientBlocks
 	leaving   leaving
 	shown     shown
 }
@@ -57,6 +58,7 @@
 		keeper:   lease.New(string(c.ID), c.Address, c.Start),
 		lastSeen: c.Start,
 		join:     join{since: c.Start},
+		blocks:   clientBlocks{last: c.Start},
 		shown:    shown{active: map[InstanceID]uint64{}},
 	}
 	e.store = revision.New(string(c.ID), e.compile)
@@ -73,6 +75,7 @@
 	e.tickJoin(now)
 	e.tickDocuments(now)
 	e.tickLeases(now)
+	e.tickBlocks(now)
 	e.tickLeaving(now)
 	e.showPeers()
 	return e.take()
@@ -156,6 +159,8 @@
 		e.rowWritten(now, ended, a)
 	case forList:
 		e.listed(now, a)
+	case forBlocks:
+		e.blockFetched(ended, a)
 	}
 }
 
--- /dev/null
+++ b/core/control/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package control
+
+const raceDetector = false
--- a/core/control/receive.go
+++ b/core/control/receive.go
@@ -35,5 +35,7 @@
 	case *LeaseProbe, *LeaseProbeAnswer, *LeaseConfirm, *LeaseConfirmAnswer,
 		*LeaseHandover, *LeaseHandoverAnswer:
 		e.receiveLease(now, from, m)
+	case *BlockFetch, *BlockAnswer:
+		e.receiveBlocks(now, from, m)
 	}
 }
--- a/core/control/schedule_test.go
+++ b/core/control/schedule_test.go
@@ -16,7 +16,7 @@
 // Figures of the generated schedules. The quarantine is the shortest that the
 // leases accept, so that a lapse fits into a schedule.
 const (
-	schedules       = 200
+	schedules       = 10_000
 	scheduleTick    = 100 * time.Millisecond
 	scheduleQuar    = 10 * time.Second
 	scheduleFaults  = 25 * time.Second
--- /dev/null
+++ b/core/control/slope_test.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"flag"
+	"math/bits"
+	"reflect"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var fullSlopes = flag.Bool("slopes", false, "measure up to 240 instances")
+
+// Bounds at 480 instances, from the requirements.
+const (
+	slopeFleet    = 480
+	maxTraffic    = 14_000.0          // bytes a second, sent and received
+	maxCPU        = 0.021             // of a core
+	maxMemory     = 64 << 20          // bytes
+	tableMemory   = float64(32 << 20) // bound of the client blocks, BenchmarkBlockLookup
+	frameOverhead = 120               // bytes of gRPC, HTTP/2, TLS, TCP and IP for one message
+)
+
+// wireSize estimates the size of a message in protobuf.
+func wireSize(m Message) int {
+	return frameOverhead + valueSize(reflect.ValueOf(m).Elem())
+}
+
+func valueSize(v reflect.Value) int {
+	switch v.Kind() {
+	case reflect.String:
+		if v.Len() == 0 {
+			return 0
+		}
+		return v.Len() + 2
+	case reflect.Pointer:
+		if v.IsNil() {
+			return 0
+		}
+		return valueSize(v.Elem())
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			return v.Len() + 4
+		}
+		size := 0
+		for i := range v.Len() {
+			size += valueSize(v.Index(i)) + 3
+		}
+		return size
+	case reflect.Struct:
+		size := 2
+		for i := range v.NumField() {
+			size += valueSize(v.Field(i))
+		}
+		return size
+	case reflect.Bool:
+		return 2
+	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return 2 + bits.Len64(v.Uint())/7
+	}
+	return 10
+}
+
+type sample struct{ instances, traffic, cpu, memory float64 }
+
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// measure runs a fleet with a change of the document and a replacement, which
+// is more than the fleet sees in such a time. The processor time includes the
+// simulation.
+func measure(t *testing.T, instances, zones int, span time.Duration) sample {
+	before := heapBytes()
+	s := newSim(11, zones, instances/zones)
+	s.loss = 0.01
+	s.store.edit("a", string(make([]byte, 20_000)))
+	for i := range instances {
+		s.boot(i % zones)
+	}
+	s.run(20 * time.Second)
+	if !s.allActive(1) {
+		t.Errorf("%d instances: the document is not active", instances)
+	}
+	s.size = wireSize
+	s.bytes = 0
+	cpu := processCPU()
+	s.after(span/4, func() { s.store.edit("a", string(make([]byte, 20_001))) })
+	s.after(span/2, func() {
+		n := s.live()[0]
+		n.kill()
+		s.bootLike(n)
+	})
+	s.run(span)
+	cpu = processCPU() - cpu
+	per := float64(instances) * span.Seconds()
+	out := sample{
+		instances: float64(instances),
+		traffic:   2 * float64(s.bytes) / per,
+		cpu:       cpu.Seconds() / per,
+		memory:    (heapBytes() - before) / float64(instances),
+	}
+	s.noFaults(t)
+	runtime.KeepAlive(s)
+	return out
+}
+
+// fit returns the value of a straight line through the samples at the fleet of
+// the requirements.
+func fit(samples []sample, y func(sample) float64) float64 {
+	n, sx, sy, sxx, sxy := 0.0, 0.0, 0.0, 0.0, 0.0
+	for _, s := range samples {
+		n++
+		sx += s.instances
+		sy += y(s)
+		sxx += s.instances * s.instances
+		sxy += s.instances * y(s)
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return (sy-slope*sx)/n + slope*slopeFleet
+}
+
+// Guards against costs that grow with the fleet beyond what an instance may
+// use. The full sizes run with -args -slopes.
+func TestSlopes(t *testing.T) {
+	sizes, span := []int{12, 24, 48}, 20*time.Second
+	if *fullSlopes {
+		sizes, span = []int{12, 48, 120, 240}, time.Minute
+	}
+	var samples []sample
+	for _, size := range sizes {
+		m := measure(t, size, 6, span)
+		samples = append(samples, m)
+		t.Logf("%3.0f instances: %6.0f B/s, %.3f%% of a core, %.2f MB", m.instances, m.traffic, m.cpu*100, m.memory/1e6)
+	}
+	traffic := fit(samples, func(s sample) float64 { return s.traffic })
+	cpu := fit(samples, func(s sample) float64 { return s.cpu })
+	memory := fit(samples, func(s sample) float64 { return s.memory }) + tableMemory
+	t.Logf("%3d fitted:    %6.0f B/s, %.3f%% of a core, %.2f MB with client blocks", slopeFleet, traffic, cpu*100, memory/1e6)
+	if traffic >= maxTraffic {
+		t.Errorf("traffic %.0f B/s", traffic)
+	}
+	if cpu >= maxCPU && !raceDetector {
+		t.Errorf("processor %.3f%%", cpu*100)
+	}
+	if memory >= maxMemory {
+		t.Errorf("memory %.0f bytes", memory)
+	}
+}
+
+// Guards the budget of platform calls of one instance.
+func TestPlatformBudget(t *testing.T) {
+	s := newSim(12, 6, 2)
+	fleet(t, s, 2)
+	s.run(time.Minute)
+	s.store.reads, s.store.writes = 0, 0
+	s.run(5 * time.Minute)
+	reads := float64(s.store.reads) / 12 / 300
+	writes := float64(s.store.writes) / 12 / 300
+	t.Logf("%.2f reads/s and %.2f writes/s per instance", reads, writes)
+	if reads > readsPerSecond || writes > writesPerSecond {
+		t.Error("over the budget")
+	}
+}
--- a/core/revision/rows.go
+++ b/core/revision/rows.go
@@ -28,6 +28,8 @@
 	Revision uint64 `json:"revision"`
 	// Sections are sorted by name.
 	Sections []HeadSection `json:"sections"`
+	// digest keeps the Digest; a head does not change once it is shared.
+	digest string
 }
 
 // HeadSection names one version of one section.
@@ -58,7 +60,10 @@
 // Digest identifies the whole content of a revision. Two heads with the same
 // revision and different digests are two contents for one revision.
 func (h *Head) Digest() string {
-	return ContentHash(h.Encode())
+	if h.digest == "" {
+		h.digest = ContentHash(h.Encode())
+	}
+	return h.digest
 }
 
 // Encode returns the value of the row.
