--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -81,7 +81,7 @@
 	return s, o
 }
 
-// operator returns one more operator, without pauses.
+// operator returns one more operator on a stand-in.
 func operator(t *testing.T, s *standin.Standin) *Operator {
 	t.Helper()
 	c, err := platform.NewClient(platform.Config{
@@ -92,7 +92,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	o := New(c)
+	return quick(c)
+}
+
+// quick returns an operator without pauses.
+func quick(p platform.Platform) *Operator {
+	o := New(p)
 	o.sleep = func(context.Context, time.Duration) {}
 	return o
 }
