--- a/core/limit/scheduler.go
+++ b/core/limit/scheduler.go
@@ -75,6 +75,13 @@
 	return s.used[p] < guaranteed*shareMargin
 }
 
+// Lent tells whether a priority holds more slots than its guaranteed share.
+func (s *Scheduler) Lent(now time.Time, p document.Priority, slots int) bool {
+	s.advance(now)
+	guaranteed := s.shares[p] * float64(slots)
+	return float64(s.inFlight[p]) > math.Ceil(guaranteed) && s.used[p] > guaranteed*shareMargin
+}
+
 func (s *Scheduler) advance(now time.Time) {
 	elapsed := now.Sub(s.at)
 	if elapsed <= 0 {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// Clear empties the set.
+func (a *Avoid) Clear() { *a = Avoid{} }
+
 // Empty tells whether no target is to be avoided.
 func (a *Avoid) Empty() bool { return a.count == 0 }
 
--- a/core/traffic/admission.go
+++ b/core/traffic/admission.go
@@ -127,6 +127,7 @@
 	e.charge(now, r)
 	e.enqueue(row)
 	e.dispatch(now, r.group)
+	e.recall(now, r.group)
 }
 
 // barredHere returns why a request may not run on this instance's slots.
--- a/core/traffic/cancel.go
+++ b/core/traffic/cancel.go
@@ -19,6 +19,10 @@
 		e.leaveKey(row)
 		e.release(row)
 	case stateUpstream, statePeer:
+		if r.recalling {
+			return
+		}
+		e.unlend(row)
 		if !r.owned || r.streamed {
 			e.emit(CancelExchange{ID: id, Attempt: r.attempt})
 		}
--- a/core/traffic/dispatch.go
+++ b/core/traffic/dispatch.go
@@ -102,6 +102,7 @@
 	r.runs++
 	r.avoid.Add(target)
 	r.row, r.slots, r.started = target, r.group, now
+	e.lend(row)
 	e.targets.Start(now, target)
 	g.shares.Start(now, r.priority)
 	e.emit(Send{
--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -20,8 +20,11 @@
 	switch e.requests.rows[row].state {
 	case stateUpstream:
 		slots := e.requests.rows[row].slots
+		e.unlend(row)
 		e.freeSlot(now, row, ev)
-		e.upstreamEnded(now, row, ev)
+		if !e.recalled(now, row, ev) {
+			e.upstreamEnded(now, row, ev)
+		}
 		e.dispatch(now, slots)
 	case statePeer:
 		e.peerEnded(now, row, ev)
@@ -37,6 +40,7 @@
 	if ev.Result == Completed {
 		took := now.Sub(r.started)
 		g.service.add(took)
+		g.recallTime = min(recallMax, g.recallTime+time.Duration(recallShare*float64(took)))
 		e.services.rows[r.service].time.add(took)
 	}
 	if ev.Result != CanceledByCaller {
@@ -213,6 +217,7 @@
 	if r.streamed {
 		return
 	}
+	e.unlend(row)
 	r.streamed, r.ran = true, true
 	e.reply(r, ending{outcome: Answered, answer: ev.Answer})
 }
--- a/core/traffic/group.go
+++ b/core/traffic/group.go
@@ -27,6 +27,12 @@
 	retries limit.RetryBudget
 	service estimate
 	shed    shedWindow
+	// lent lists the exchanges that may be recalled, the youngest last; recalls
+	// counts those that were and have not ended, recallTime is what the next
+	// ones may cost.
+	lent       queue
+	recalls    int
+	recallTime time.Duration
 }
 
 // groupTable holds the groups by name.
@@ -57,7 +63,7 @@
 	if row, ok := t.byName[name]; ok {
 		return row
 	}
-	g := group{name: name, retries: limit.NewRetryBudget()}
+	g := group{name: name, retries: limit.NewRetryBudget(), lent: queue{head: none, tail: none}}
 	for p := range g.queues {
 		g.queues[p] = queue{head: none, tail: none}
 	}
@@ -98,9 +104,36 @@
 
 // enqueue appends a request to its group's queue.
 func (e *Engine) enqueue(row int32) {
+	r := &e.requests.rows[row]
+	r.state = stateQueued
+	e.link(&e.groups.rows[r.group].queues[r.priority], row)
+}
+
+// enqueueFirst puts a request at the head of its group's queue.
+func (e *Engine) enqueueFirst(row int32) {
 	r := &e.requests.rows[row]
 	q := &e.groups.rows[r.group].queues[r.priority]
 	r.state = stateQueued
+	if q.head == none {
+		e.link(q, row)
+		return
+	}
+	r.prev, r.next = none, q.head
+	e.requests.rows[q.head].prev = row
+	q.head = row
+	q.length++
+}
+
+// dequeue takes a request out of its queue, wherever it is.
+func (e *Engine) dequeue(row int32) {
+	r := &e.requests.rows[row]
+	e.unlink(&e.groups.rows[r.group].queues[r.priority], row)
+	r.state = stateNew
+}
+
+// link appends a row to a list.
+func (e *Engine) link(q *queue, row int32) {
+	r := &e.requests.rows[row]
 	r.prev, r.next = q.tail, none
 	if q.tail == none {
 		q.head = row
@@ -111,10 +144,9 @@
 	q.length++
 }
 
-// dequeue takes a request out of its queue, wherever it is.
-func (e *Engine) dequeue(row int32) {
+// unlink takes a row out of its list, wherever it is.
+func (e *Engine) unlink(q *queue, row int32) {
 	r := &e.requests.rows[row]
-	q := &e.groups.rows[r.group].queues[r.priority]
 	if r.prev == none {
 		q.head = r.next
 	} else {
@@ -126,7 +158,7 @@
 		e.requests.rows[r.next].prev = r.prev
 	}
 	q.length--
-	r.state, r.prev, r.next = stateNew, none, none
+	r.prev, r.next = none, none
 }
 
 // expireQueue refuses the queued requests that cannot finish in time any more.
--- a/core/traffic/reason.go
+++ b/core/traffic/reason.go
@@ -35,6 +35,8 @@
 	// ReasonKeyUnknown means that an earlier request with the key may have run
 	// and that its answer is not kept.
 	ReasonKeyUnknown
+	// ReasonRecalled means that urgent work took back a lent slot.
+	ReasonRecalled
 	// Causes of ejections.
 	ReasonErrors
 	ReasonLatency
@@ -67,6 +69,7 @@
 	ReasonUpstreamError:     "upstream_error",
 	ReasonPeerUnknown:       "peer_unknown",
 	ReasonKeyUnknown:        "key_unknown",
+	ReasonRecalled:          "recalled",
 	ReasonErrors:            "errors",
 	ReasonLatency:           "latency",
 }
--- a/core/traffic/reason_test.go
+++ b/core/traffic/reason_test.go
@@ -307,6 +307,19 @@
 			r.do(ExchangeEnded{ID: id, Attempt: r.requests.rows[row].attempt, Result: UnknownAtPeer, Runs: 1})
 			return r
 		},
+		{CountRetry, ReasonRecalled}: func() *rig {
+			r := newRig(nil)
+			for range manyRequests {
+				r.askTimes(2*slotsOfGroup, RequestArrived{Service: readBackground})
+				r.now = r.now.Add(time.Millisecond)
+				r.ask(RequestArrived{Service: readUrgent})
+				r.tick(50 * time.Millisecond)
+				for id := range r.id {
+					r.end(id+1, r.canceledOr(id+1, Completed))
+				}
+			}
+			return r
+		},
 		{CountEjection, ReasonErrors}:  func() *rig { return ejecting(Failed, time.Millisecond) },
 		{CountEjection, ReasonLatency}: func() *rig { return ejecting(Completed, 500*time.Millisecond) },
 	}
@@ -329,6 +342,16 @@
 	}
 }
 
+// canceledOr is the result of an exchange that ends now.
+func (r *rig) canceledOr(id RequestID, result Result) Result {
+	for _, a := range r.actions {
+		if c, ok := a.(CancelExchange); ok && c.ID == id {
+			return CanceledByCaller
+		}
+	}
+	return result
+}
+
 func (r *rig) told(reason Reason) bool {
 	for _, a := range r.actions {
 		if reply, ok := a.(Reply); ok && reply.Reason == reason {
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -51,9 +51,12 @@
 	// bodyGone is set when an attempt consumed a body that is not held.
 	bodyGone bool
 	streamed bool
-	toOwner  bool // the exchange is with the key's owner
-	canceled bool
-	replied  bool
+	// lent is set while the exchange may be recalled, recalling until a recalled
+	// one has ended.
+	lent, recalling, recalled bool
+	toOwner                   bool // the exchange is with the key's owner
+	canceled                  bool
+	replied                   bool
 	// ran is set when an attempt may have run; the request is then never told
 	// "not run".
 	ran       bool
