Upload client blocks and check the manifest of a document

A document whose manifest is missing, or names a site that it does not define, is refused, since instances could not load its client blocks.

--- a/cmd/pistachioctl/commands.go
+++ b/cmd/pistachioctl/commands.go
@@ -30,6 +30,7 @@
 		{name: "show", description: "Print a section, or list the sections.", define: defineShow, run: show},
 		{name: "history", description: "List the newest revisions.", define: defineHistory, run: history},
 		{name: "status", description: "Ask the instances which revision each has active.", define: defineStatus, run: status},
+		{name: "blocks", description: "Upload client blocks and make them active.", define: defineBlocks, run: upload},
 		{name: "drain", description: "Give a target no new work.", define: defineDrain, run: drain(true)},
 		{name: "undrain", description: "Give a target work again.", define: defineDrain, run: drain(false)},
 	}
@@ -90,6 +91,11 @@
 	changeFlags(f, o)
 }
 
+func defineBlocks(f *flaggy.Subcommand, o *options) {
+	f.AddPositionalValue(&o.args[0], "CSV", 1, true, "File with lines prefix,site.")
+	changeFlags(f, o)
+}
+
 func check(_ context.Context, o *options) (any, error) {
 	files, err := operate.OpenFiles(o.arguments())
 	if err != nil {
@@ -186,3 +192,11 @@
 		})
 	}
 }
+
+func upload(ctx context.Context, o *options) (any, error) {
+	operator, token, err := o.authorized()
+	if err != nil {
+		return nil, err
+	}
+	return operator.Upload(ctx, operate.UploadRequest{File: o.args[0], Token: token, Operation: o.operation})
+}
--- a/cmd/pistachioctl/print.go
+++ b/cmd/pistachioctl/print.go
@@ -58,6 +58,8 @@
 		return printDiffs(o.out, r)
 	case *operate.Changed:
 		return printChanged(o.out, r)
+	case *operate.Uploaded:
+		return printUploaded(o.out, r)
 	case *operate.Overview:
 		return printOverview(o.out, r)
 	case *operate.Shown:
@@ -109,6 +111,14 @@
 	return err
 }
 
+func printUploaded(w io.Writer, u *operate.Uploaded) error {
+	_, err := fmt.Fprintf(w, "%d blocks in %d chunks, %d of them uploaded; manifest %s\n", u.Blocks, u.Chunks, u.Stored, u.Manifest)
+	if err != nil {
+		return err
+	}
+	return printChanged(w, &u.Changed)
+}
+
 // sections lists sections with their versions.
 func sections(changed []operate.ChangedSection) string {
 	names := make([]string, len(changed))
--- a/core/document/build.go
+++ b/core/document/build.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"path/filepath"
 	"regexp"
 	"sort"
 	"time"
@@ -24,9 +25,9 @@
 	maxLookupTTL        = 5 * time.Minute
 )
 
-// manifestPattern matches the name of an object. An empty name is allowed, as
-// it stands before the first upload.
-var manifestPattern = regexp.MustCompile(`^[A-Za-z0-9/_.-]{0,200}$`)
+// manifestPattern matches the name of a manifest in the object store, see
+// blocks.ObjectName. It is empty before the first upload.
+var manifestPattern = regexp.MustCompile(`^(blocks/[0-9a-f]{64})?$`)
 
 var errTokenHash = errors.New("must be a SHA-256 hash of 64 hexadecimal digits, not the token itself")
 
@@ -208,8 +209,11 @@
 	t := b.blocks.table
 	blocks := Blocks{
 		File:     t.String("file", ""),
-		Manifest: t.Matching("manifest", manifestPattern, "must be an object name", ""),
-		Origin:   Origin{Name: "blocks", Section: b.blocks.section.Name, Line: t.Line()},
+		Manifest: t.Matching("manifest", manifestPattern, "must be blocks/ and a hash of 64 hexadecimal digits", ""),
+		Origin:   b.blocks.origin(),
+	}
+	if blocks.File != "" && !filepath.IsLocal(blocks.File) {
+		t.Errorf("file", "%.64q must be a file in the directory of the section's file or below", blocks.File)
 	}
 	if blocks.File == "" && blocks.Manifest == "" {
 		t.Errorf("", "must have a file, a manifest or both")
--- a/core/document/compile_test.go
+++ b/core/document/compile_test.go
@@ -123,7 +123,7 @@
 	is.Equal(c.KeyRetention, 2*time.Hour)
 	is.Equal(c.Quarantine, 30*time.Second)
 	is.Equal(c.LookupTTL, 10*time.Second)
-	is.Equal(index.Targets[0], Origin{"stock-1", "stock", 9})
+	is.Equal(index.Targets[0], Origin{"stock-1", "stock", "stock.toml", 9})
 	is.Equal(index.Blocks.File, "clients.csv")
 
 	sections[0], sections[1] = sections[1], sections[0]
@@ -179,6 +179,8 @@
 		{"team hash", `token_sha256 = "9f`, `token_sha256 = "xx`, "network.toml:10: team.token_sha256: "},
 		{"other team", `team = "stock"`, `team = "platform"`, `stock.toml:3: section.team: the text says team "platform", but the section belongs to "stock"`},
 		{"deep keys", "shards = 3", "a.b.c.d.e.f.g = 3", "network.toml:26: keys are nested more than 6 deep"},
+		{"blocks elsewhere", `"clients.csv"`, `"../clients.csv"`, "network.toml:39: blocks.file: \"../clients.csv\" must be a file in the directory"},
+		{"manifest", `file = "clients.csv"`, `manifest = "x"`, "network.toml:39: blocks.manifest: \"x\" must be blocks/ and a hash"},
 		{"empty blocks", `file = "clients.csv"`, "", "network.toml:38: blocks: must have a file, a manifest or both"},
 	}
 	for _, test := range tests {
--- a/core/document/entries.go
+++ b/core/document/entries.go
@@ -115,7 +115,7 @@
 		}
 		byAddress[target.Address] = d
 		b.compiled.Targets = append(b.compiled.Targets, target)
-		b.index.Targets = append(b.index.Targets, Origin{Name: d.name, Section: d.section.Name, Line: d.table.Line()})
+		b.index.Targets = append(b.index.Targets, d.origin())
 		if hasGroup && hasZone {
 			targets := b.compiled.Groups[group].Targets
 			targets[zone] = append(targets[zone], TargetID(id))
--- a/core/document/names.go
+++ b/core/document/names.go
@@ -41,6 +41,11 @@
 		what, d.section.Name, other.section.Name, other.table.File(), other.table.Line())
 }
 
+// origin tells where the table is.
+func (d *definition) origin() Origin {
+	return Origin{Name: d.name, Section: d.section.Name, File: d.section.file(), Line: d.table.Line()}
+}
+
 // names are the definitions of one kind, ordered by name, so that identifiers
 // do not depend on which section defines what.
 type names struct {
--- a/core/document/section.go
+++ b/core/document/section.go
@@ -54,7 +54,9 @@
 type Origin struct {
 	Name    string
 	Section string
-	Line    int
+	// File is the name that errors show.
+	File string
+	Line int
 }
 
 // Blocks tells where the client blocks come from.
@@ -65,7 +67,8 @@
 	// Manifest is the name of the manifest in the object store. It is empty
 	// before the first upload.
 	Manifest string
-	Origin   Origin
+	// Origin is the table [blocks].
+	Origin Origin
 }
 
 // Open returns the section of a TOML file. Its name and team are those that the
--- /dev/null
+++ b/operate/blocks.go
@@ -0,0 +1,262 @@
+package operate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioford.example/core/blocks"
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/toml"
+	"pistachioford.example/pistachioford/platform"
+)
+
+// uploadAttempts bounds the attempts to store one object. They are safe, since
+// the name of an object is the hash of its content.
+const uploadAttempts = 3
+
+// UploadRequest asks for client blocks to be uploaded and made active.
+type UploadRequest struct {
+	// File has lines prefix,site.
+	File      string
+	Token     string
+	Operation string
+}
+
+// Uploaded is the result of an upload.
+type Uploaded struct {
+	Changed
+	Manifest string `json:"manifest"`
+	Blocks   int    `json:"blocks"`
+	Chunks   int    `json:"chunks"`
+	// Stored counts the chunks that the previous manifest did not list.
+	Stored int `json:"stored"`
+}
+
+// Upload cuts a file of client blocks into chunks, stores those that the active
+// manifest does not list, and edits the section that names the manifest. It
+// conflicts with another upload that was made in between.
+func (o *Operator) Upload(ctx context.Context, request UploadRequest) (*Uploaded, error) {
+	s, err := o.read(ctx, request.Operation)
+	if err != nil {
+		return nil, err
+	}
+	if s.index == nil || s.index.Blocks == nil {
+		return nil, refusef("no section has a table [blocks]; add one that names the file, and apply it first")
+	}
+	if err := s.authorize(request.Token, []document.Section{s.sections[s.find(s.index.Blocks.Origin.Section)]}); err != nil {
+		return nil, err
+	}
+	previous, err := o.manifest(ctx, s.compiled.Blocks)
+	if err != nil {
+		return nil, err
+	}
+	result, err := buildBlocks(request.File, previous, s.compiled)
+	if err != nil {
+		return nil, err
+	}
+	u := &Uploaded{Chunks: len(result.Manifest.Chunks)}
+	for _, c := range result.Manifest.Chunks {
+		u.Blocks += c.Blocks
+	}
+	if err := o.store(ctx, previous, result, u); err != nil {
+		return nil, err
+	}
+	changed, err := o.change(ctx, changeRequest{
+		operation: request.Operation,
+		token:     request.Token,
+		edit: func(now *snapshot) ([]document.Section, error) {
+			return o.withManifest(ctx, s, now, u.Manifest)
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	u.Changed = *changed
+	return u, nil
+}
+
+// store puts the missing chunks and then the manifest that lists them.
+func (o *Operator) store(ctx context.Context, previous *blocks.Manifest, result *blocks.Result, u *Uploaded) error {
+	missing := blocks.Diff(previous, result.Manifest)
+	for _, hash := range missing {
+		if err := o.putObject(ctx, blocks.ObjectName(hash), result.Chunks[hash]); err != nil {
+			return err
+		}
+	}
+	data, hash := result.Manifest.Encode()
+	u.Manifest, u.Stored = blocks.ObjectName(hash), len(missing)
+	return o.putObject(ctx, u.Manifest, data)
+}
+
+func (o *Operator) putObject(ctx context.Context, name string, data []byte) error {
+	var err error
+	for attempt := range uploadAttempts {
+		if attempt > 0 {
+			o.sleep(ctx, pause(attempt))
+		}
+		if err = o.platform.PutObject(ctx, name, data); err == nil {
+			return nil
+		}
+	}
+	return eris.Wrapf(err, "step=upload object=%s", name)
+}
+
+// withManifest returns the section that names the manifest, edited.
+func (o *Operator) withManifest(ctx context.Context, before, now *snapshot, manifest string) ([]document.Section, error) {
+	if now.index.Blocks == nil {
+		return nil, refusef("the table [blocks] was removed meanwhile; nothing was changed")
+	}
+	origin := now.index.Blocks.Origin
+	i := now.find(origin.Section)
+	if now.compiled.Blocks != before.compiled.Blocks && now.compiled.Blocks != manifest {
+		base := uint64(0)
+		if j := before.find(origin.Section); j >= 0 {
+			base = before.head.Sections[j].Version
+		}
+		return nil, o.conflict(ctx, now, origin.Section, base, now.head.Sections[i].Version)
+	}
+	section := now.sections[i]
+	text, err := setKey(section.Text, origin.Line, "blocks", "manifest", `"`+manifest+`"`)
+	section.Text = text
+	return []document.Section{section}, err
+}
+
+// manifest returns the manifest of a document; an empty name stands for none.
+func (o *Operator) manifest(ctx context.Context, name string) (*blocks.Manifest, error) {
+	if name == "" {
+		return nil, nil
+	}
+	data, err := o.platform.GetObject(ctx, name)
+	if err != nil {
+		return nil, eris.Wrapf(err, "step=read-manifest object=%s", name)
+	}
+	m, err := blocks.DecodeManifest(strings.TrimPrefix(name, blocks.ObjectName("")), data)
+	return m, eris.Wrapf(err, "step=read-manifest")
+}
+
+// checkManifest refuses a document whose manifest is missing, or names sites
+// that the document does not define. It reads the manifest only when the edit
+// can change the result.
+func (o *Operator) checkManifest(ctx context.Context, active, next *document.Compiled, index *document.Index) error {
+	if next.Blocks == "" || active != nil && active.Blocks == next.Blocks && slices.Equal(siteNames(active), siteNames(next)) {
+		return nil
+	}
+	origin := index.Blocks.Origin
+	var errs toml.List
+	m, err := o.manifest(ctx, next.Blocks)
+	if errors.Is(err, platform.ErrNotFound) {
+		errs.Addf(origin.File, origin.Line, "blocks.manifest", "%s is not in the object store; upload it with pistachioctl blocks", next.Blocks)
+		return errs.Err()
+	}
+	if err != nil {
+		return err
+	}
+	for _, site := range m.Sites {
+		if !slices.Contains(siteNames(next), site) {
+			errs.Addf(origin.File, origin.Line, "blocks.manifest", "the client blocks name site %q, which is not defined", site)
+		}
+	}
+	return errs.Err()
+}
+
+func siteNames(c *document.Compiled) []string {
+	names := make([]string, len(c.Sites))
+	for i := range c.Sites {
+		names[i] = c.Sites[i].Name
+	}
+	return names
+}
+
+// buildBlocks reads a file of client blocks and checks it against the sites of
+// a document.
+func buildBlocks(file string, previous *blocks.Manifest, c *document.Compiled) (*blocks.Result, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrapf(err, "step=read-blocks")
+	}
+	var errs toml.List
+	result, err := blocks.Build(bytes.NewReader(data), keepSites(previous, c))
+	for _, fault := range lineErrors(err) {
+		errs.Addf(file, fault.Line, "", "%s", fault.Reason)
+	}
+	if errs.Err() == nil && err != nil {
+		return nil, eris.Wrapf(err, "step=read-blocks file=%s", file)
+	}
+	checkSites(file, data, siteNames(c), &errs)
+	return result, errs.Err()
+}
+
+// keepSites returns the previous manifest, or nil if it names sites that are no
+// longer defined, since the next manifest would name them too.
+func keepSites(previous *blocks.Manifest, c *document.Compiled) *blocks.Manifest {
+	if previous == nil {
+		return nil
+	}
+	for _, site := range previous.Sites {
+		if !slices.Contains(siteNames(c), site) {
+			return nil
+		}
+	}
+	return previous
+}
+
+// lineErrors returns the errors that name a line.
+func lineErrors(err error) []*blocks.LineError {
+	var faults []*blocks.LineError
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return nil
+	}
+	for _, e := range joined.Unwrap() {
+		var fault *blocks.LineError
+		if errors.As(e, &fault) {
+			faults = append(faults, fault)
+		}
+	}
+	return faults
+}
+
+// checkSites notes the first line of each site that is not defined.
+func checkSites(file string, data []byte, defined []string, errs *toml.List) {
+	known := make(map[string]bool, len(defined))
+	for _, site := range defined {
+		known[site] = true
+	}
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for number := 1; lines.Scan(); number++ {
+		line := strings.TrimSpace(lines.Text())
+		_, site, ok := strings.Cut(line, ",")
+		site = strings.TrimSpace(site)
+		if !ok || site == "" || line[0] == '#' || known[site] {
+			continue
+		}
+		known[site] = true
+		errs.Addf(file, number, "", "site %.64q is not defined", site)
+	}
+}
+
+// checkBlocksFile checks the file of client blocks that a document in files
+// names, if any.
+func checkBlocksFile(c *document.Compiled, index *document.Index) error {
+	if index.Blocks == nil || index.Blocks.File == "" {
+		return nil
+	}
+	origin := index.Blocks.Origin
+	file := filepath.Join(filepath.Dir(origin.File), index.Blocks.File)
+	_, err := buildBlocks(file, nil, c)
+	if errors.Is(err, fs.ErrNotExist) {
+		var errs toml.List
+		errs.Addf(origin.File, origin.Line, "blocks.file", "%s does not exist", file)
+		return errs.Err()
+	}
+	return err
+}
--- a/operate/change.go
+++ b/operate/change.go
@@ -110,7 +110,7 @@
 	if err := s.authorize(c.request.token, sections); err != nil {
 		return err
 	}
-	if err := s.check(sections); err != nil {
+	if err := c.check(ctx, s, sections); err != nil {
 		return err
 	}
 	return c.send(ctx, s, sections)
@@ -158,12 +158,17 @@
 }
 
 // check validates the whole document with the changed sections.
-func (s *snapshot) check(changed []document.Section) error {
-	next, _, err := document.Build(s.head.Revision+1, s.with(changed))
-	if err != nil || s.compiled == nil {
+func (o *Operator) check(ctx context.Context, s *snapshot, changed []document.Section) error {
+	next, index, err := document.Build(s.head.Revision+1, s.with(changed))
+	if err != nil {
 		return err
 	}
-	return s.compiled.CheckTransition(next)
+	if s.compiled != nil {
+		if err := s.compiled.CheckTransition(next); err != nil {
+			return err
+		}
+	}
+	return o.checkManifest(ctx, s.compiled, next, index)
 }
 
 // commit returns the transaction of a change, and its record.
--- a/operate/check.go
+++ b/operate/check.go
@@ -14,12 +14,16 @@
 	Targets  int      `json:"targets"`
 }
 
-// Check validates files as one document. It touches nothing.
+// Check validates files as one document, with the file of client blocks that it
+// names. It touches nothing.
 func Check(files []File) (*Checked, error) {
-	c, _, err := document.Build(1, sectionsOf(files))
+	c, index, err := document.Build(1, sectionsOf(files))
 	if err != nil {
 		return nil, err
 	}
+	if err := checkBlocksFile(c, index); err != nil {
+		return nil, err
+	}
 	checked := &Checked{
 		Regions: len(c.Regions), Zones: len(c.Zones), Groups: len(c.Groups),
 		Services: len(c.Services), Targets: len(c.Targets),
