--- a/cmd/pistachioctl/main.go
+++ b/cmd/pistachioctl/main.go
@@ -37,7 +37,7 @@
   3  conflict: somebody else changed the section; nothing changed
   4  outcome unknown; run again with the --operation that the error names
   5  the platform or a file does not answer as it should; nothing changed
-  6  status: an instance is stale, cut off or does not answer
+  6  status: an instance is stale, cut off or does not answer, or none is listed
 
 The platform's URL is taken from --platform or PISTACHIOCTL_PLATFORM, the team's
 token from --token-file or PISTACHIOCTL_TOKEN.`
--- a/core/document/build.go
+++ b/core/document/build.go
@@ -147,10 +147,14 @@
 func (b *builder) decodeHeads() {
 	for _, s := range b.sections {
 		t := s.root.Table("section")
-		if said := name(t, "name", s.Name); said != "" && said != s.Name {
+		said := name(t, "name", s.Name)
+		switch {
+		case !namePattern.MatchString(s.Name):
+			t.Errorf("name", "the name of the section, %.64q, %s", s.Name, nameRule)
+		case said != "" && said != s.Name:
 			t.Errorf("name", "the text says section %q, but the section is %q", said, s.Name)
 		}
-		said := name(t, "team", s.Team)
+		said = name(t, "team", s.Team)
 		_, defined := b.teams.ids[s.Team]
 		switch {
 		case said != "" && said != s.Team:
--- a/core/document/compile_test.go
+++ b/core/document/compile_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// Guards against sections whose rows would have odd keys, and against two
+// sections with one name.
+func TestSectionNames(t *testing.T) {
+	tests := []struct{ first, second, text, want string }{
+		{"My File", "b", "", `My File:1: section.name: the name of the section, "My File", must be`},
+		{"a", "b", "[section]\nname = \"c\"\n", `a:2: section.name: the text says section "c", but the section is "a"`},
+		{"a", "a", "", `a:1: section: section "a" exists twice: a and a`},
+	}
+	for _, test := range tests {
+		_, err := Compile(1, []Section{{Name: test.first, Text: test.text}, {Name: test.second}})
+		is.New(t).True(err != nil && strings.Contains(err.Error(), test.want))
+	}
+	is.New(t).Equal(Open("x/My File.toml", "My File", "[section]\nname = \"c\"\nteam = \"d\"\n"),
+		Section{Name: "c", Team: "d", File: "x/My File.toml", Text: "[section]\nname = \"c\"\nteam = \"d\"\n"})
+}
+
 // Guards against a document whose errors have to be found one run at a time,
 // and against an unbounded list of them.
 func TestCompileListsAllErrors(t *testing.T) {
--- a/core/document/section.go
+++ b/core/document/section.go
@@ -81,7 +81,9 @@
 		return s
 	}
 	head := root.Table("section")
-	s.Name = name(head, "name", defaultName)
+	if said := name(head, "name", defaultName); said != "" {
+		s.Name = said
+	}
 	s.Team = name(head, "team", "")
 	return s
 }
