--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -43,7 +43,6 @@
 		Quarantine: e.documents.active.Quarantine,
 		Shards:     zone.Shards,
 	}
-	live, died := 0, 0
 	since := now.Add(-max(view.Quarantine, lease.DefaultQuarantine))
 	e.members.Recent(since, func(r *member.Record, goneSince time.Time) {
 		m := lease.Mate{
@@ -54,13 +53,7 @@
 			m.Shards = append(m.Shards, lease.Claim{Index: s.Index, Epoch: s.Epoch})
 		}
 		view.Mates = append(view.Mates, m)
-		if m.Gone {
-			died++
-		} else {
-			live++
-		}
 	})
-	view.Isolated = view.Down && live == 0 && died > 0
 	return view
 }
 
--- a/core/lease/hold.go
+++ b/core/lease/hold.go
@@ -14,7 +14,7 @@
 }
 
 func (k *Keeper) tickHolding(s *slot, now time.Time) {
-	if k.view.Isolated {
+	if k.isolated(s) {
 		k.suspend(s, now, now, "isolated")
 		return
 	}
@@ -30,6 +30,25 @@
 	}
 }
 
+// isolated tells whether the platform does not answer and all other instances
+// of the zone that were seen since the last confirmed renewal became
+// unreachable without leaving: then one of them may reach the platform and
+// replace this instance.
+func (k *Keeper) isolated(s *slot) bool {
+	if !k.view.Down {
+		return false
+	}
+	lost := false
+	for i := range k.view.Mates {
+		m := &k.view.Mates[i]
+		if !m.Gone {
+			return false
+		}
+		lost = lost || m.GoneSince.After(s.confirmed)
+	}
+	return lost
+}
+
 // renew writes the row of a shard that this instance holds or held.
 func (k *Keeper) renew(s *slot, now time.Time) {
 	k.send(s, Row{
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -87,6 +87,10 @@
 	confirmAt time.Time
 	round     uint64
 
+	// yielded is set when a paused holder no longer keeps others from taking
+	// the shard; it returns only if its row is unchanged.
+	yielded bool
+
 	successor  string
 	refusedBy  map[string]bool
 	handSent   time.Time
@@ -143,9 +147,6 @@
 	Drained time.Time
 	// Down is set when the platform does not answer.
 	Down bool
-	// Isolated is set when the platform does not answer and all other known
-	// instances of the zone became unreachable without leaving.
-	Isolated bool
 	// Quarantine is the longest deadline of the document.
 	Quarantine time.Duration
 	// Shards is the number of shards of the zone.
@@ -228,7 +229,7 @@
 func (k *Keeper) Claims() []Claim {
 	var claims []Claim
 	for i := range k.slots {
-		if s := &k.slots[i]; s.state != idle && s.state != taking {
+		if s := &k.slots[i]; s.state != idle && s.state != taking && !s.yielded {
 			claims = append(claims, Claim{Index: s.index, Epoch: s.epoch})
 		}
 	}
@@ -255,6 +256,7 @@
 	s.changed = now
 	s.silent = time.Time{}
 	s.takeable = time.Time{}
+	s.yielded = false
 	if from == to {
 		return
 	}
--- a/core/lease/resume.go
+++ b/core/lease/resume.go
@@ -5,8 +5,8 @@
 // Times of the confirmation after a pause.
 const (
 	confirmInterval = 500 * time.Millisecond
-	// resumeLife is how long a paused holder claims its shard; after it others
-	// may take it.
+	// resumeLife is how long a paused holder claims its shard. After it others
+	// may take the shard, and the holder gets it back only if none did.
 	resumeLife = 30 * time.Second
 )
 
@@ -14,9 +14,10 @@
 // platform only a conditional write confirms: between a read and its answer
 // another instance may write the row.
 func (k *Keeper) resume(s *slot, now time.Time) {
-	if now.Sub(s.changed) >= resumeLife {
-		k.set(s, idle, now, "not confirmed")
-		return
+	if now.Sub(s.changed) >= resumeLife && !s.yielded {
+		s.yielded = true
+		k.note(s, "not confirmed")
+		k.do(Output{Kind: Changed})
 	}
 	if !s.write.inFlight && !s.uncertain && now.Sub(s.write.sent) >= retryInterval {
 		k.renew(s, now)
@@ -45,7 +46,7 @@
 }
 
 func (k *Keeper) confirmable(s *slot, now time.Time) bool {
-	return k.view.Fresh && !k.view.Isolated && now.Sub(s.lostAt) < k.view.Quarantine-2*clockMargin
+	return k.view.Fresh && now.Sub(s.lostAt) < k.view.Quarantine-2*clockMargin
 }
 
 // Unchanged answers the question of a paused holder: this instance takes no
--- a/core/lease/take.go
+++ b/core/lease/take.go
@@ -164,7 +164,11 @@
 
 // Probed answers a probe: whether this instance uses the shard or may use it.
 func (k *Keeper) Probed(index uint16) bool {
-	return int(index) < len(k.slots) && k.slots[index].state != idle
+	if int(index) >= len(k.slots) {
+		return false
+	}
+	s := &k.slots[index]
+	return s.state != idle && !s.yielded
 }
 
 // ProbeAnswered takes the answer of an instance.
