--- a/core/blocks/blocks_test.go
+++ b/core/blocks/blocks_test.go
@@ -187,7 +187,7 @@
 		if err != nil {
 			return
 		}
-		for i := 1; i < len(c.meta); i++ {
+		for i := 1; i < c.count; i++ {
 			if c.at(i-1).last(c.family) >= c.at(i).start {
 				t.Fatal("blocks overlap")
 			}
@@ -210,21 +210,10 @@
 		b.Errorf("table has %d bytes, more than %d", size, maxTable)
 	}
 	random := rand.New(rand.NewPCG(3, 4))
-	addresses := make([]netip.Addr, 1<<16)
-	for i := range addresses {
-		var four [4]byte
-		binary.BigEndian.PutUint32(four[:], 1<<24+random.Uint32N(fullBlocks*3/4*2<<9))
-		addresses[i] = netip.AddrFrom4(four)
-		if i%4 == 3 {
-			var sixteen [16]byte
-			binary.BigEndian.PutUint64(sixteen[:], uint64(0x2001)<<48+random.Uint64N(fullBlocks/4*2<<16))
-			addresses[i] = netip.AddrFrom16(sixteen)
-		}
-	}
 	b.ReportAllocs()
 	found := 0
 	for i := 0; b.Loop(); i++ {
-		if _, ok := table.Lookup(addresses[i&(1<<16-1)]); ok {
+		if _, ok := table.Lookup(randomAddress(random, i)); ok {
 			found++
 		}
 	}
@@ -236,6 +225,18 @@
 	}
 }
 
+// randomAddress is in the range of the blocks; one in four is IPv6.
+func randomAddress(random *rand.Rand, i int) netip.Addr {
+	if i%4 == 3 {
+		var b [16]byte
+		binary.BigEndian.PutUint64(b[:], uint64(0x2001)<<48+random.Uint64N(fullBlocks/4*2<<16))
+		return netip.AddrFrom16(b)
+	}
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], 1<<24+random.Uint32N(fullBlocks*3/4*2<<9))
+	return netip.AddrFrom4(b)
+}
+
 func heap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/core/blocks/chunk.go
+++ b/core/blocks/chunk.go
@@ -36,32 +36,27 @@
 type Chunk struct {
 	hash   string
 	family uint8
-	// starts4 or starts6 hold the addresses in order.
-	starts4 column[uint32]
-	starts6 column[uint64]
-	// meta holds the prefix length and the site of each block in one word, so
-	// that a lookup reads one cache line of it.
-	meta []uint32
+	count  int
+	// rows4 or rows6 hold the blocks in the order of their addresses.
+	rows4 column[uint32]
+	rows6 column[uint64]
 }
 
 // Hash returns the content hash.
 func (c *Chunk) Hash() string { return c.hash }
 
-func (c *Chunk) first() uint64 {
-	if c.family == v4 {
-		return uint64(c.starts4.all[0])
-	}
-	return c.starts6.all[0]
-}
+func (c *Chunk) first() uint64 { return c.at(0).start }
 
 func (c *Chunk) at(i int) block {
-	b := block{bits: uint8(c.meta[i] >> 16), site: uint16(c.meta[i])}
 	if c.family == v4 {
-		b.start = uint64(c.starts4.all[i])
-	} else {
-		b.start = c.starts6.all[i]
+		start, meta := c.rows4.get(i)
+		return unpack(uint64(start), meta)
 	}
-	return b
+	return unpack(c.rows6.get(i))
+}
+
+func unpack(start uint64, meta uint32) block {
+	return block{start: start, bits: uint8(meta >> 16), site: uint16(meta)}
 }
 
 // width is the number of address bits that a family uses in the table.
@@ -101,7 +96,7 @@
 
 // Encode returns the content that the hash was made of.
 func (c *Chunk) Encode() []byte {
-	blocks := make([]block, len(c.meta))
+	blocks := make([]block, c.count)
 	for i := range blocks {
 		blocks[i] = c.at(i)
 	}
@@ -169,21 +164,21 @@
 }
 
 func (c *Chunk) allocate(count int) {
+	c.count = count
 	if c.family == v4 {
-		c.starts4 = newColumn[uint32](count)
+		c.rows4 = newColumn[uint32](count, group4)
 	} else {
-		c.starts6 = newColumn[uint64](count)
+		c.rows6 = newColumn[uint64](count, group6)
 	}
-	c.meta = make([]uint32, count)
 }
 
 func (c *Chunk) put(i int, b block) {
+	meta := uint32(b.bits)<<16 | uint32(b.site)
 	if c.family == v4 {
-		c.starts4.put(i, uint32(b.start))
+		c.rows4.put(i, uint32(b.start), meta)
 	} else {
-		c.starts6.put(i, b.start)
+		c.rows6.put(i, b.start, meta)
 	}
-	c.meta[i] = uint32(b.bits)<<16 | uint32(b.site)
 }
 
 // key returns the family and the leading bits of an address.
--- a/core/blocks/manifest.go
+++ b/core/blocks/manifest.go
@@ -7,7 +7,7 @@
 
 // Limits of a manifest.
 const (
-	maxChunks = 1 << 16
+	maxChunks = 1<<16 - 1
 	maxSites  = 1 << 16
 	// MaxBlocks bounds the memory of a table.
 	MaxBlocks = 4_000_000
--- a/core/blocks/table.go
+++ b/core/blocks/table.go
@@ -10,6 +10,9 @@
 type Table struct {
 	sites  []string
 	v4, v6 family
+	// pages tells for each value of the leading pageBits of an IPv4 address how
+	// many chunks start below it.
+	pages  [1<<pageBits + 1]uint16
 	chunks map[string]*Chunk
 }
 
@@ -35,16 +38,30 @@
 			return nil, fmt.Errorf("chunk %.12s: %w", e.Hash, err)
 		}
 	}
+	t.index()
 	return t, nil
 }
 
+const pageBits = 14
+
+// index fills pages.
+func (t *Table) index() {
+	at := 0
+	for page := range t.pages {
+		for at < len(t.v4.firsts) && t.v4.firsts[at] < uint64(page)<<(32-pageBits) {
+			at++
+		}
+		t.pages[page] = uint16(at)
+	}
+}
+
 // add appends a chunk, which must lie above the previous one of its family.
 func (t *Table) add(c *Chunk, e Entry) error {
-	if len(c.meta) != e.Blocks {
-		return fmt.Errorf("%d blocks, the manifest says %d", len(c.meta), e.Blocks)
+	if c.count != e.Blocks {
+		return fmt.Errorf("%d blocks, the manifest says %d", c.count, e.Blocks)
 	}
-	for _, meta := range c.meta {
-		if site := uint16(meta); int(site) >= len(t.sites) {
+	for i := range c.count {
+		if site := c.at(i).site; int(site) >= len(t.sites) {
 			return fmt.Errorf("site %d of %d", site, len(t.sites))
 		}
 	}
@@ -54,7 +71,7 @@
 	}
 	if n := len(f.chunks); n > 0 {
 		before := f.chunks[n-1]
-		if before.at(len(before.meta)-1).last(c.family) >= c.first() {
+		if before.at(before.count-1).last(c.family) >= c.first() {
 			return fmt.Errorf("overlaps the chunk before it")
 		}
 	}
@@ -79,7 +96,7 @@
 func (t *Table) Len() int {
 	total := 0
 	for _, c := range t.chunks {
-		total += len(c.meta)
+		total += c.count
 	}
 	return total
 }
@@ -92,31 +109,34 @@
 	}
 	version, bits := key(a)
 	if version == v4 {
-		c := t.v4.chunk(bits)
+		page := bits >> (32 - pageBits)
+		c := t.v4.chunk(bits, int(t.pages[page]), int(t.pages[page+1]))
 		if c == nil {
 			return 0, false
 		}
-		return c.site(c.starts4.find(uint32(bits)), bits)
+		start, meta := find4(&c.rows4, uint32(bits))
+		return unpack(uint64(start), meta).match(v4, bits)
 	}
-	c := t.v6.chunk(bits)
+	c := t.v6.chunk(bits, 0, len(t.v6.firsts))
 	if c == nil {
 		return 0, false
 	}
-	return c.site(c.starts6.find(bits), bits)
+	return unpack(find6(&c.rows6, bits)).match(v6, bits)
 }
 
-// chunk returns the chunk that could hold an address, or nil.
-func (f *family) chunk(bits uint64) *Chunk {
-	at := search(f.firsts, bits)
-	if at < 0 {
+// chunk returns the chunk that could hold an address, or nil; it
+// is one of those from the chunk before from to the one before to.
+func (f *family) chunk(bits uint64, from, to int) *Chunk {
+	from = max(from-1, 0)
+	if to <= from || f.firsts[from] > bits {
 		return nil
 	}
-	return f.chunks[at]
+	return f.chunks[from+search(f.firsts[from:to], bits)]
 }
 
-// site returns the site of a block if the block holds the address.
-func (c *Chunk) site(i int, bits uint64) (uint16, bool) {
-	if b := c.at(i); bits <= b.last(c.family) {
+// match returns the site of the block if the block holds the address.
+func (b block) match(family uint8, bits uint64) (uint16, bool) {
+	if bits <= b.last(family) {
 		return b.site, true
 	}
 	return 0, false
--- a/core/control/blocks_test.go
+++ b/core/control/blocks_test.go
@@ -51,6 +51,7 @@
 // Guards against blocks that never arrive, a change that transfers everything,
 // and a restart that needs the object store.
 func TestClientBlocks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(13, 3, 2)
 	lines := csv(200_000)
--- a/core/control/engine_test.go
+++ b/core/control/engine_test.go
@@ -58,6 +58,7 @@
 
 // Guards against a change that stays in a part of the fleet or arrives late.
 func TestChangeActiveEverywhere(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		delay  time.Duration
@@ -69,6 +70,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			worst := time.Duration(0)
 			for seed := range uint64(20) {
--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -11,6 +11,7 @@
 // Guards against an outage of the platform in which the replacement of
 // instances loses the document or the shards.
 func TestOutageWithReplacement(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(5, 6, 2)
 	fleet(t, s, 2)
@@ -40,6 +41,7 @@
 // Guards against a killed holder whose shard is taken too early or never, also
 // when its row expired long before.
 func TestKilledHolder(t *testing.T) {
+	t.Parallel()
 	for _, outage := range []time.Duration{0, 2 * time.Minute} {
 		t.Run(fmt.Sprint("outage ", outage), func(t *testing.T) {
 			is := is.New(t)
@@ -68,6 +70,7 @@
 // Guards against a paused holder that goes on with a shard that may have
 // another holder, and against one that never gets it back.
 func TestPausedHolder(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		pause time.Duration
@@ -83,6 +86,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			s := newSim(7, 2, 2)
 			fleet(t, s, 3)
@@ -110,6 +114,7 @@
 
 // Guards against a departure that leaves its shard to the quarantine.
 func TestDepartureHandsOver(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(8, 2, 2)
 	fleet(t, s, 2)
@@ -127,6 +132,7 @@
 // Guards against an instance that keeps several shards beside one that has
 // none, and against shards without a holder when instances are few.
 func TestShardsAreShared(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(9, 1, 4)
 	fleet(t, s, 1)
--- a/core/control/member_test.go
+++ b/core/control/member_test.go
@@ -19,6 +19,7 @@
 
 // Guards against slow detection, in small and in large zones.
 func TestDeathIsDetected(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name           string
 		zones, perZone int
@@ -31,6 +32,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			s := newSim(1, c.zones, 2)
 			fleet(t, s, c.perZone)
@@ -71,6 +73,7 @@
 
 // Guards against live instances that are declared dead because of loss.
 func TestNoFalsePositive(t *testing.T) {
+	t.Parallel()
 	s := newSim(3, 6, 2)
 	fleet(t, s, 2)
 	s.loss = 0.05
@@ -88,6 +91,7 @@
 
 // Guards against declaring the instances of a zone dead that is only cut off.
 func TestZoneUnreachable(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(4, 4, 2)
 	fleet(t, s, 2)
--- a/core/control/schedule_test.go
+++ b/core/control/schedule_test.go
@@ -226,6 +226,7 @@
 // Guards the invariants of the document and of the shards against any order of
 // restarts, pauses, partitions between zones, lost answers and racing editors.
 func TestGeneratedSchedules(t *testing.T) {
+	t.Parallel()
 	gen := rapid.Custom(drawSchedule)
 	var next, failed atomic.Int64
 	count := int64(schedules)
@@ -255,6 +256,7 @@
 // Shows that each observer of the judge can fail, by breaking one rule in the
 // simulation.
 func TestJudgeSeesBrokenRules(t *testing.T) {
+	t.Parallel()
 	edit := func(at time.Duration) fault { return fault{At: at, Kind: editOne} }
 	cases := []struct {
 		name, want string
--- a/core/control/slope_test.go
+++ b/core/control/slope_test.go
@@ -162,6 +162,7 @@
 
 // Guards the budget of platform calls of one instance.
 func TestPlatformBudget(t *testing.T) {
+	t.Parallel()
 	s := newSim(12, 6, 2)
 	fleet(t, s, 2)
 	s.run(time.Minute)
