--- a/operate/change.go
+++ b/operate/change.go
@@ -92,7 +92,8 @@
 		return err
 	}
 	if s.made > 0 {
-		return c.found(ctx, s.made)
+		c.found(ctx, s.made)
+		return nil
 	}
 	if s.headRow != c.unknownRow {
 		// The lost commit required the head that is gone, so it cannot take effect.
@@ -110,7 +111,7 @@
 	if err := s.authorize(c.request.token, sections); err != nil {
 		return err
 	}
-	if err := s.check(sections); err != nil {
+	if err := c.check(ctx, s, sections); err != nil {
 		return err
 	}
 	return c.send(ctx, s, sections)
@@ -131,18 +132,19 @@
 	return nil
 }
 
-// found fills in the result of an attempt whose response was lost.
-func (c *changer) found(ctx context.Context, made uint64) error {
+// found fills in the result of an attempt whose response was lost. The revision
+// is certain; its record only adds the versions of the sections, so a failure to
+// read it is no failure of the change.
+func (c *changer) found(ctx context.Context, made uint64) {
+	c.result.Revision = made
+	c.result.Earlier = c.result.Attempts == 0
 	records, err := c.records(ctx, made, made)
 	if err != nil {
-		return err
+		return
 	}
-	c.result.Revision = made
-	c.result.Earlier = c.result.Attempts == 0
 	for _, r := range records {
 		c.result.Sections = r.Sections
 	}
-	return nil
 }
 
 // dropUnchanged leaves the sections whose text differs from the active one.
@@ -158,12 +160,17 @@
 }
 
 // check validates the whole document with the changed sections.
-func (s *snapshot) check(changed []document.Section) error {
-	next, _, err := document.Build(s.head.Revision+1, s.with(changed))
-	if err != nil || s.compiled == nil {
+func (o *Operator) check(ctx context.Context, s *snapshot, changed []document.Section) error {
+	next, index, err := document.Build(s.head.Revision+1, s.with(changed))
+	if err != nil {
 		return err
 	}
-	return s.compiled.CheckTransition(next)
+	if s.compiled != nil {
+		if err := s.compiled.CheckTransition(next); err != nil {
+			return err
+		}
+	}
+	return o.checkManifest(ctx, s.compiled, next, index)
 }
 
 // commit returns the transaction of a change, and its record.
