--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -46,6 +46,14 @@
 		r.ejected = false
 		r.restart(now)
 	}
+	if r.down && !now.Before(r.probeAt) {
+		r.down = false // one more refusal takes it out again
+		r.refusals = downRefusals - 1
+	}
+	if now.Sub(r.lastEnd) > staleTime {
+		r.failures *= staleKept
+		r.sheds *= staleKept
+	}
 	if !r.coldSince.IsZero() && now.Sub(r.coldSince) >= slowStart {
 		r.coldSince = time.Time{}
 	}
@@ -57,9 +65,10 @@
 // judge ejects the outliers of one group.
 func (t *Table) judge(now time.Time, g *group) {
 	g.median = t.medianLatency(g)
+	g.coldShare = t.coldShare(g)
 	for _, row := range g.rows {
 		r := &t.targets[row]
-		if r.owned == 0 || !r.usable() || r.samples < ejectSamples {
+		if r.owned == 0 || !r.usable() || r.samples < ejectSamples || now.Sub(r.lastEnd) > staleTime {
 			continue
 		}
 		cause, out := t.outlier(g, row)
@@ -69,6 +78,24 @@
 	}
 }
 
+func (t *Table) coldShare(g *group) float64 {
+	slots, cold := 0, 0
+	for _, row := range g.rows {
+		r := &t.targets[row]
+		if !r.usable() {
+			continue
+		}
+		slots += int(r.owned)
+		if !r.coldSince.IsZero() {
+			cold += int(r.owned)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return float64(cold) / float64(slots)
+}
+
 func (t *Table) outlier(g *group, row Row) (Cause, bool) {
 	r := &t.targets[row]
 	if r.failures >= max(ejectErrors, t.failuresBeside(g, row)+ejectErrorsAbove) {
--- a/core/route/limits.go
+++ b/core/route/limits.go
@@ -12,11 +12,6 @@
 	// while a target that fails 1 in 5 at random stays 6 deviations below it;
 	// with 0.1 some of 10 such targets were ejected within 20,000 requests.
 	errorWeight = 0.05
-	// refusedWeight ejects a target that refuses connections after 4 of them;
-	// refusals come at once and tell more than a failed answer.
-	refusedWeight = 0.2
-	// refusedSamples lets them count before the target has answered at all.
-	refusedSamples = 2
 	// errorPenalty makes a target that always fails 9 times less attractive, so
 	// that its short answers do not draw work.
 	errorPenalty = 8
@@ -55,6 +50,20 @@
 	// slowStartLatency paces a cold target while no latency is known.
 	slowStartLatency = 20 * time.Millisecond
 
+	// downRefusals is how many refused connections in a row mean that no process
+	// listens; a single one can be a full accept queue.
+	downRefusals = 3
+	// probeBase is the first wait before work tries such a target again; it
+	// doubles up to probeMax, so that a restart is noticed within a second.
+	probeBase = 100 * time.Millisecond
+	probeMax  = time.Second
+
+	// staleTime is the time without an exchange after which old failures fade
+	// and eject no more; the target may have recovered unseen.
+	staleTime = time.Second
+	// staleKept is the part of old failures that is kept in each judgeInterval.
+	staleKept = 0.9
+
 	// latencyLifetime forgets the latency of a target without answers, which
 	// would otherwise never get the work that could show an improvement.
 	latencyLifetime = 5 * time.Second
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -78,7 +78,7 @@
 
 // usable tells whether new work may go to the target at all.
 func (r *target) usable() bool {
-	return !r.leaving && !r.draining && !r.ejected
+	return !r.leaving && !r.draining && !r.ejected && !r.down
 }
 
 // better compares own measurements first; the report only breaks a tie.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -27,14 +27,22 @@
 
 	latency  float64 // nanoseconds; 0 if unknown
 	samples  uint32
-	lastSeen time.Time
-	failures float64 // moving share of failed exchanges
-	sheds    float64 // moving share of shed exchanges
+	lastSeen time.Time // last sample of the latency
+	lastEnd  time.Time // last exchange that counted
+	failures float64   // moving share of failed exchanges
+	sheds    float64   // moving share of shed exchanges
 	// beforeCrash is the share of failures before the first crash that a
 	// suspected request caused; valid while crashed is set.
 	beforeCrash float64
 	crashed     bool
 
+	// refusals counts refused connections in a row; down is set when they mean
+	// that no process listens, until the next probe.
+	refusals uint8
+	down     bool
+	probeAt  time.Time
+	probing  time.Duration // the last wait before a probe
+
 	load   float64
 	loadAt time.Time
 
@@ -52,6 +60,8 @@
 	rows []Row
 	// median is the median latency of the measured targets.
 	median float64
+	// coldShare is the part of the usable owned slots that is cold.
+	coldShare float64
 	// recent and usual are a fast and a slow average of the group's latency.
 	recent, usual float64
 }
