--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -60,6 +60,7 @@
 	runs        int
 	work        time.Duration // time of the last run
 	ended       bool
+	entry       *instance // where it was sent last
 	cancel      func()
 }
 
@@ -109,6 +110,9 @@
 		if !r.ended {
 			r.cancel()
 			w.finish(r, late)
+			if r.entry != nil && !r.entry.pausedAt.IsZero() {
+				w.avoid[r.home][r.entry.id] = w.now.Add(avoidTime)
+			}
 		}
 	})
 	return r
@@ -179,6 +183,7 @@
 		return
 	}
 	r.sent++
+	r.entry = entry
 	c := &call{world: w, load: r.load, request: r}
 	delay := w.network.toClient(r.home, entry.zone)
 	w.clock.after(delay, func() {
--- a/scenario/check.go
+++ b/scenario/check.go
@@ -164,6 +164,12 @@
 		if ev.Leaving && ev.Answer != nil {
 			c.sign(ev.Answer.(*answer).by)
 		}
+	case traffic.DocumentChanged:
+		for id := range ev.Document.Targets {
+			if ev.Document.Targets[id].Draining {
+				c.sign(c.world.upstreams[id])
+			}
+		}
 	}
 }
 
--- a/scenario/events.go
+++ b/scenario/events.go
@@ -26,7 +26,7 @@
 	"cold":    {1, prepareFlag(func(u *upstream, on bool) { u.setCold(on) })},
 	"leave":   {2, prepareLeave},
 	"reports": {1, prepareReports},
-	"kill":    {1, prepareInstance(func(w *world, in *instance) { in.kill(false); w.lost(in) }, nil)},
+	"kill":    {1, prepareInstance((*world).kill, (*world).restart)},
 	"stop":    {1, prepareInstance((*world).stop, nil)},
 	"pause":   {1, prepareInstance((*world).pause, (*world).resume)},
 	"lose":    {1, prepareLose},
@@ -113,7 +113,7 @@
 func prepareFlag(set func(*upstream, bool)) func(*Platform, []string) (do, undo func(*world), err error) {
 	number := prepareNumber(func(u *upstream, x float64) { set(u, x != 0) })
 	return func(p *Platform, args []string) (do, undo func(*world), err error) {
-		return number(p, append(args, "1"))
+		return number(p, []string{args[0], "1"})
 	}
 }
 
@@ -138,19 +138,25 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if args[1] != "header" && args[1] != "health" {
-		return nil, nil, fmt.Errorf("unknown sign %q", args[1])
+	if err := oneOf(args[1], "header", "health", "document"); err != nil {
+		return nil, nil, err
 	}
 	do = func(w *world) {
 		for _, id := range ids {
-			w.upstreams[id].leave(args[1] == "health")
+			w.upstreams[id].leave(args[1])
 			w.awaitDrained(w.upstreams[id], w.now)
 		}
+		if args[1] == "document" {
+			w.setDraining(ids, true)
+		}
 	}
 	undo = func(w *world) {
 		for _, id := range ids {
 			w.upstreams[id].comeBack()
 		}
+		if args[1] == "document" {
+			w.setDraining(ids, false)
+		}
 	}
 	return do, undo, nil
 }
@@ -187,16 +193,6 @@
 	return nil
 }
 
-func (w *world) pause(in *instance) {
-	in.pausedAt = w.now
-	w.lost(in)
-}
-
-func (w *world) resume(in *instance) {
-	in.resume()
-	w.publish(0, -1)
-}
-
 // prepareLose ends all instances and upstreams of a place without a word.
 func prepareLose(p *Platform, args []string) (do, undo func(*world), err error) {
 	zones := p.zones(args[0])
@@ -219,8 +215,8 @@
 		}
 		for _, in := range w.instances {
 			if lost(in.zone) {
-				in.kill(true)
-				w.lost(in)
+				in.silent = true
+				w.kill(in)
 			}
 		}
 	}, nil, nil
--- a/scenario/fault.go
+++ b/scenario/fault.go
@@ -49,7 +49,7 @@
 
 // shards returns what an instance believes to hold.
 func (f Fault) shards(doc *document.Compiled, held []traffic.HeldShard) []traffic.HeldShard {
-	if f != FaultSlots {
+	if f != FaultSlots || len(held) == 0 {
 		return held
 	}
 	all := []traffic.HeldShard{}
--- a/scenario/instance.go
+++ b/scenario/instance.go
@@ -298,9 +298,9 @@
 	w.clock.after(0, done)
 }
 
-// kill ends the process at once. With a silent host nobody is told.
-func (in *instance) kill(silent bool) {
-	in.alive, in.silent, in.pausedAt = false, silent, time.Time{}
+// exit ends the process at once. With a silent host nobody is told.
+func (in *instance) exit() {
+	in.alive, in.pausedAt, in.backlog = false, time.Time{}, nil
 	for _, id := range in.requests() {
 		request := in.inbound[id]
 		for _, x := range request.exchanges {
@@ -309,7 +309,7 @@
 				x.abort()
 			}
 		}
-		if !silent && !request.replied {
+		if !in.silent && !request.replied {
 			request.broken()
 		}
 	}
@@ -329,9 +329,6 @@
 // resume ends a pause: what arrived meanwhile is handled now. After a gap
 // beyond the lease the instance holds nothing until it is confirmed.
 func (in *instance) resume() {
-	if !in.alive {
-		return
-	}
 	gap := in.world.clock.now.Sub(in.pausedAt)
 	in.pausedAt = time.Time{}
 	if gap > leaseGap {
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -15,6 +15,7 @@
 type Script struct {
 	settings Settings
 	results  map[string]*Result
+	measures []Measure
 }
 
 // NewScript returns an empty scenario.
@@ -131,7 +132,7 @@
 }
 
 // Run is the line "run NAME DURATION [without=LOAD,...] [events=off]
-// [decider=baseline]"; it returns the event log.
+// [scale=N] [decider=baseline]"; it returns the event log.
 func (s *Script) Run(args []string) (string, error) {
 	if len(args) < 2 || s.settings.Platform == nil {
 		return "", errors.New("usage: run NAME DURATION")
@@ -142,10 +143,12 @@
 		return "", err
 	}
 	var without []string
+	scale := 1.0
 	err = options(args[2:], map[string]func(string) error{
 		"without": func(v string) error { without = strings.Split(v, ","); return nil },
 		"events":  func(v string) error { settings.Events = nil; return oneOf(v, "off") },
 		"decider": func(v string) error { settings.Baseline = true; return oneOf(v, "baseline") },
+		"scale":   func(v string) (err error) { scale, err = strconv.ParseFloat(v, 64); return },
 		"fault":   func(v string) error { settings.Fault = Fault(v); return nil },
 	})
 	if err != nil {
@@ -155,6 +158,7 @@
 	for _, l := range s.settings.Loads {
 		if !slices.Contains(without, l.Name) {
 			fresh := *l
+			fresh.Rate *= scale
 			settings.Loads = append(settings.Loads, &fresh)
 		}
 	}
@@ -224,6 +228,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if kind, ok := strings.CutPrefix(args[1], "violations:"); ok {
+		return float64(result.Violations[check(kind)]), nil
+	}
 	return result.stats.metric(args[1], sel, from, to)
 }
 
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -1,8 +1,12 @@
 package scenario
 
 import (
+	"errors"
 	"flag"
 	"io"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -10,6 +14,10 @@
 
 var update = flag.Bool("update", false, "rewrite the golden logs in the scripts")
 
+// seed replaces the seeds of the scripts, to look for results that hold by
+// chance; the golden logs are not compared then.
+var seed = flag.Uint64("seed", 0, "seed for all scripts, 0 for their own")
+
 type scriptKey struct{}
 
 // script returns the scenario that the lines of one file build.
@@ -43,14 +51,20 @@
 	ts.Logf("%s", sides)
 }
 
-// TestScripts runs each scenario of testdata; see README.md for the language.
-func TestScripts(t *testing.T) {
+// runScripts executes the scripts of a directory with the commands of README.md.
+func runScripts(t *testing.T, dir string, done func(*Script)) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata",
+		Dir:                 dir,
 		UpdateScripts:       *update,
 		RequireExplicitExec: true,
+		Condition:           func(string) (bool, error) { return *seed != 0, nil }, // [seeded]
 		Setup: func(env *testscript.Env) error {
-			env.Values[scriptKey{}] = NewScript()
+			s := NewScript()
+			if *seed != 0 {
+				s.settings.Seed = *seed
+			}
+			env.Values[scriptKey{}] = s
+			env.Defer(func() { done(s) })
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -62,6 +76,34 @@
 			"run":      runLine,
 			"expect":   expectLine,
 			"violated": line((*Script).Violated),
+			"measure":  line((*Script).Measure),
+			"headroom": line((*Script).Headroom),
 		},
 	})
 }
+
+// TestScripts runs the scenarios; see README.md for the language.
+func TestScripts(t *testing.T) { runScripts(t, "testdata", func(*Script) {}) }
+
+// TestMeasures prints the measures of section 1.3 of the design page, ours
+// beside the baseline, as a table and as JSON.
+func TestMeasures(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the measures are a report, not a check")
+	}
+	var mutex sync.Mutex
+	var all []Measure
+	t.Run("scripts", func(t *testing.T) {
+		runScripts(t, "testdata/measures", func(s *Script) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			all = append(all, s.measures...)
+		})
+	})
+	slices.SortFunc(all, func(a, b Measure) int { return strings.Compare(a.Name, b.Name) })
+	var out strings.Builder
+	if err := errors.Join(WriteTable(&out, all), WriteJSON(&out, all)); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("\n%s", out.String())
+}
--- a/scenario/stats.go
+++ b/scenario/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -217,6 +218,8 @@
 		return float64(sum.busy) / slotTime, nil
 	case "useful":
 		return float64(sum.useful) / slotTime, nil
+	case "drain":
+		return float64(slices.Max(append(s.drains, 0))), nil
 	case "p50":
 		return float64(sum.latency.ValueAtQuantile(50)), nil
 	case "p99":
--- a/scenario/upstream.go
+++ b/scenario/upstream.go
@@ -171,18 +171,17 @@
 	u.coldSince = u.world.clock.now
 }
 
-// leave starts a planned stop, announced by a header of the answers or by the
-// health endpoint, which one instance reads first.
-func (u *upstream) leave(health bool) {
+// leave starts a planned stop, announced by a header of the answers, by the
+// health endpoint, which one instance reads first, or by the document.
+func (u *upstream) leave(sign string) {
 	w := u.world
-	if !health {
+	switch sign {
+	case "header":
 		u.announces = true
-		return
-	}
-	readers := w.instancesIn(u.zone)
-	if len(readers) > 0 {
-		first := readers[w.random.IntN(len(readers))]
-		first.handle(traffic.TargetLeaving{Target: u.id, Seen: w.clock.now})
+	case "health":
+		if readers := w.instancesIn(u.zone); len(readers) > 0 {
+			readers[w.random.IntN(len(readers))].handle(traffic.TargetLeaving{Target: u.id, Seen: w.now})
+		}
 	}
 }
 
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -53,7 +53,8 @@
 type world struct {
 	clock
 	settings  Settings
-	doc       *document.Compiled
+	doc       *document.Compiled // of the start; identifiers never change
+	latest    *document.Compiled
 	random    *rand.Rand
 	network   *network
 	instances []*instance
@@ -66,6 +67,7 @@
 
 	lastRequest    uint64
 	lastAnswer     traffic.Answer
+	restarts       uint64
 	reportsStopped bool
 }
 
@@ -99,7 +101,7 @@
 
 func newWorld(s Settings) *world {
 	w := &world{settings: s, doc: s.Platform.Document, byID: map[traffic.InstanceID]*instance{}}
-	w.now = epoch
+	w.now, w.latest = epoch, w.doc
 	w.random = rand.New(rand.NewPCG(s.Seed, 1))
 	w.network = newNetwork(&w.clock, w.random, s.Platform)
 	w.stats = newStats(w)
@@ -154,7 +156,7 @@
 
 // introduce gives a started instance its document, shards and peers.
 func (w *world) introduce(in *instance) {
-	in.handle(traffic.DocumentChanged{Document: w.settings.Fault.document(w.doc)})
+	in.handle(traffic.DocumentChanged{Document: w.settings.Fault.document(w.latest)})
 	in.handle(traffic.ShardsChanged{Held: w.settings.Fault.shards(w.doc, in.shards)})
 	in.handle(traffic.PeersChanged{Peers: w.peersOf(in)})
 }
@@ -187,30 +189,44 @@
 	})
 }
 
-// lost starts what follows the failure of an instance.
-func (w *world) lost(in *instance) {
+// kill ends an instance without a word; its shards are taken when their leases
+// and the quarantine have ended.
+func (w *world) kill(in *instance) {
+	in.exit()
+	orphans := in.shards
+	in.shards = nil
 	w.publish(deadInZone, int(in.zone))
 	w.publish(deadEverywhere, -1)
-	w.after(leaseTerm+w.doc.Quarantine, func() { w.takeOver(in) })
+	w.after(leaseTerm+w.doc.Quarantine, func() { w.grant(orphans) })
 }
 
-// takeOver gives the shards of a dead instance to one of its zone.
-func (w *world) takeOver(dead *instance) {
-	if (dead.alive && dead.pausedAt.IsZero()) || len(dead.shards) == 0 {
-		return
-	}
-	for _, in := range w.instancesIn(dead.zone) {
-		if in == dead || in.leaving || !in.pausedAt.IsZero() {
-			continue
-		}
-		for _, held := range dead.shards {
-			in.shards = append(in.shards, traffic.HeldShard{Shard: held.Shard, TakenAt: w.now})
+// restart starts a killed instance anew; it knows nothing and holds no shard.
+func (w *world) restart(in *instance) {
+	w.restarts++
+	in.alive, in.silent, in.leaving = true, false, false
+	in.decider = w.newDecider(in, uint64(len(w.instances))+w.restarts)
+	w.introduce(in)
+	w.publish(announceDelay, -1)
+}
+
+// pause stops an instance; a long pause costs it its shards.
+func (w *world) pause(in *instance) {
+	in.pausedAt = w.now
+	w.publish(deadInZone, int(in.zone))
+	w.publish(deadEverywhere, -1)
+	w.after(leaseTerm+w.doc.Quarantine, func() {
+		if !in.pausedAt.IsZero() {
+			orphans := in.shards
+			in.shards = nil
+			w.grant(orphans)
 		}
-		dead.shards = nil
-		w.logf("%s takes the shards of %s", in.id, dead.id)
-		in.handle(traffic.ShardsChanged{Held: in.shards})
-		w.publish(announceDelay, -1)
-		return
+	})
+}
+
+func (w *world) resume(in *instance) {
+	if !in.pausedAt.IsZero() {
+		in.resume()
+		w.publish(0, -1)
 	}
 }
 
@@ -220,7 +236,7 @@
 	in.handle(traffic.Draining{})
 	w.publish(announceDelay, -1)
 	if w.settings.Fault == FaultCut {
-		in.kill(false)
+		in.exit()
 	}
 	w.after(stopTime, func() { w.awaitIdle(in) })
 }
@@ -231,9 +247,49 @@
 		return
 	}
 	w.logf("%s has stopped", in.id)
-	in.kill(false)
+	in.exit()
+	orphans := in.shards
+	in.shards = nil
+	w.grant(orphans)
+}
+
+// grant gives free shards to the instance of their zone that has the fewest.
+func (w *world) grant(shards []traffic.HeldShard) {
+	if len(shards) == 0 {
+		return
+	}
+	var taker *instance
+	for _, in := range w.instancesIn(shards[0].Shard.Zone) {
+		able := !in.leaving && in.pausedAt.IsZero()
+		if able && (taker == nil || len(in.shards) < len(taker.shards)) {
+			taker = in
+		}
+	}
+	if taker == nil {
+		return
+	}
+	for _, held := range shards {
+		taker.shards = append(taker.shards, traffic.HeldShard{Shard: held.Shard, TakenAt: w.now})
+	}
+	w.logf("%s takes over %d shards", taker.id, len(shards))
+	taker.handle(traffic.ShardsChanged{Held: taker.shards})
 	w.publish(announceDelay, -1)
-	w.takeOver(in)
+}
+
+// setDraining puts a new revision in force, on one instance after the other.
+func (w *world) setDraining(ids []document.TargetID, draining bool) {
+	next := *w.latest
+	next.Revision++
+	next.Targets = append([]document.Target(nil), next.Targets...)
+	for _, id := range ids {
+		next.Targets[id].Draining = draining
+	}
+	w.latest = &next
+	for i, in := range w.instances {
+		w.after(time.Duration(i)*announceDelay, func() {
+			in.handle(traffic.DocumentChanged{Document: w.settings.Fault.document(&next)})
+		})
+	}
 }
 
 // awaitDrained ends a planned stop of an upstream when its work has ended.
