--- a/core/idempotency/poison.go
+++ b/core/idempotency/poison.go
@@ -20,6 +20,15 @@
 	Fingerprint uint64
 	Target      document.TargetID
 	At          time.Time
+	// Started is when the exchange began; zero if unknown.
+	Started time.Time
+}
+
+// after tells whether the exchange began after an earlier crash. Exchanges that
+// ran at the same time can break together for another reason, such as the
+// failure of a rack, and count as one crash.
+func (c Crash) after(first Crash) bool {
+	return c.Started.IsZero() || !c.Started.Before(first.At)
 }
 
 type suspect struct {
@@ -46,7 +55,7 @@
 		p.add(now, c)
 		return false
 	}
-	if s.first != c && s.blocked.IsZero() {
+	if s.first != c && s.blocked.IsZero() && c.after(s.first) {
 		s.blocked = now.Add(BlockTime)
 		s.until = s.blocked
 		p.suspects[c.Fingerprint] = s
@@ -54,6 +63,19 @@
 	return !s.blocked.IsZero()
 }
 
+// Succeeded clears the suspicion of a fingerprint that an upstream has served.
+// A popular read that was in flight on a dying upstream is not poison.
+func (p *Poison) Succeeded(fingerprint uint64) {
+	if len(p.suspects) == 0 {
+		return
+	}
+	s, ok := p.suspects[fingerprint]
+	if ok && s.blocked.IsZero() {
+		s.until = time.Time{}
+		p.suspects[fingerprint] = s
+	}
+}
+
 // Blocked tells whether requests with the fingerprint are refused.
 func (p *Poison) Blocked(now time.Time, fingerprint uint64) bool {
 	s, ok := p.suspects[fingerprint]
--- a/core/idempotency/poison_test.go
+++ b/core/idempotency/poison_test.go
@@ -39,3 +39,18 @@
 	is.Equal(len(p.order), maxSuspects)
 	is.True(p.Blocked(start, 0))
 }
+
+// Guards against a popular read that is blocked because it was in flight on
+// several upstreams that died together, or on two that died hours apart.
+func TestPopularReadIsNotPoison(t *testing.T) {
+	is := is.New(t)
+	p := NewPoison()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	p.Crashed(at(10), Crash{Fingerprint: 1, Target: 1, At: at(10), Started: at(9)})
+	is.True(!p.Crashed(at(11), Crash{Fingerprint: 1, Target: 2, At: at(11), Started: at(8)})) // began before the first crash
+	p.Succeeded(1)
+	is.True(!p.Crashed(at(20), Crash{Fingerprint: 1, Target: 3, At: at(20), Started: at(19)})) // an upstream served it
+	is.True(p.Crashed(at(22), Crash{Fingerprint: 1, Target: 4, At: at(22), Started: at(21)}))
+	p.Succeeded(1) // a late answer
+	is.True(p.Blocked(at(23), 1))
+}
--- a/core/traffic/estimate.go
+++ b/core/traffic/estimate.go
@@ -82,7 +82,7 @@
 // freeFor is the number of free slots that peers may hope for.
 func (e *Engine) freeFor(row int32) uint16 {
 	g := &e.groups.rows[row]
-	if !g.present || g.waiting() > 0 {
+	if !g.present || g.waiting() > 0 || e.draining {
 		return 0
 	}
 	return uint16(min(e.targets.Free(g.id), math.MaxUint16))
--- a/core/traffic/event.go
+++ b/core/traffic/event.go
@@ -190,6 +190,8 @@
 	Fingerprint uint64
 	Target      document.TargetID
 	At          time.Time
+	// Started is when the broken exchange began.
+	Started time.Time
 }
 
 // BroadcastDone reports that the peers acknowledged a broadcast, or that its
--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -38,6 +38,7 @@
 	e.targets.End(now, r.row, e.blame(r, ev), ev.Latency)
 	g.shares.End(now, r.priority)
 	if ev.Result == Completed {
+		e.poison.Succeeded(r.fingerprint)
 		took := now.Sub(r.started)
 		g.service.add(took)
 		g.recallTime = min(recallMax, g.recallTime+time.Duration(recallShare*float64(took)))
--- a/core/traffic/fault_test.go
+++ b/core/traffic/fault_test.go
@@ -203,6 +203,35 @@
 	}
 }
 
+// TestFaultSequencesReachEveryPath guards against generated sequences that no
+// longer reach what the observers are for.
+func TestFaultSequencesReachEveryPath(t *testing.T) {
+	saw, counts := map[string]int{}, map[CountKind]int{}
+	for i := range 300 {
+		rapid.Custom(func(t *rapid.T) int {
+			w := faultSequence(t, uint64(i), nil)
+			for kind, n := range w.saw {
+				saw[kind] += n
+			}
+			for c, n := range w.counts {
+				counts[c.Kind] += n
+			}
+			return 0
+		}).Example(i)
+	}
+	for _, kind := range []string{
+		"traffic.Send", "traffic.Forward", "traffic.CancelExchange", "traffic.BroadcastPoison", "traffic.BroadcastLeaving",
+		"outcome 0 false", "outcome 0 true", "outcome 1 false", "outcome 2 false",
+	} {
+		if saw[kind] < 10 {
+			t.Errorf("%s: %d", kind, saw[kind])
+		}
+	}
+	if counts[CountRetry] < 100 {
+		t.Errorf("retries: %d", counts[CountRetry])
+	}
+}
+
 // TestObserversCanFail guards against observers that see nothing: each broken
 // decision has to be found within some sequences.
 func TestObserversCanFail(t *testing.T) {
--- a/core/traffic/forward.go
+++ b/core/traffic/forward.go
@@ -190,9 +190,14 @@
 			continue
 		}
 		best, _ := e.choosePeer(now, r, maxWait-1, int32(m.to))
-		if best != none && e.forward(now, row, best) {
+		if best != none && e.hintsFree(best, r.group) && e.forward(now, row, best) {
 			return true
 		}
 	}
 	return false
 }
+
+func (e *Engine) hintsFree(to, group int32) bool {
+	free, g := e.peers.rows[to].free, e.groups.rows[group].id
+	return int(g) < len(free) && free[g] > 0
+}
--- a/core/traffic/key.go
+++ b/core/traffic/key.go
@@ -48,7 +48,7 @@
 		r.owned = true
 		e.admit(now, row)
 	case idempotency.Wait:
-		e.waitForKey(row, RequestID(decision.Running))
+		e.waitForKey(now, row, RequestID(decision.Running))
 	case idempotency.Replay:
 		e.replay(now, row, decision.Answer)
 	default:
@@ -84,10 +84,12 @@
 }
 
 // waitForKey lets a copy wait for the request that runs with its key.
-func (e *Engine) waitForKey(row int32, running RequestID) {
+func (e *Engine) waitForKey(now time.Time, row int32, running RequestID) {
 	first, ok := e.requests.find(running)
 	if !ok {
-		panic("traffic: a running key without its request")
+		// No request ends without settling its key; if one did, it may have run.
+		e.finish(now, row, endingOfVerdict(idempotency.OutcomeUnknown))
+		return
 	}
 	r := &e.requests.rows[row]
 	f := &e.requests.rows[first]
--- a/core/traffic/poison.go
+++ b/core/traffic/poison.go
@@ -20,16 +20,12 @@
 func (e *Engine) suspect(now time.Time, row int32, ev *ExchangeEnded) {
 	r := &e.requests.rows[row]
 	target, _ := e.targets.ID(r.row)
-	crash := idempotency.Crash{Fingerprint: r.fingerprint, Target: target, At: now}
-	e.poison.Crashed(now, crash)
+	crash := PoisonSuspected{Fingerprint: r.fingerprint, Target: target, At: now, Started: r.started}
+	e.poison.Crashed(now, idempotency.Crash(crash))
 	e.broadcast++
 	r.broadcast, r.pending, r.state = e.broadcast, *ev, stateBroadcast
 	e.startTimer(row, now.Add(broadcastTimeout+broadcastGrace))
-	e.emit(BroadcastPoison{
-		ID:      r.broadcast,
-		Suspect: PoisonSuspected{Fingerprint: crash.Fingerprint, Target: target, At: now},
-		Timeout: broadcastTimeout,
-	})
+	e.emit(BroadcastPoison{ID: r.broadcast, Suspect: crash, Timeout: broadcastTimeout})
 }
 
 func (e *Engine) broadcastDone(now time.Time, id BroadcastID) {
@@ -63,5 +59,5 @@
 
 // poisonReported takes a peer's report.
 func (e *Engine) poisonReported(now time.Time, ev PoisonSuspected) {
-	e.poison.Crashed(now, idempotency.Crash{Fingerprint: ev.Fingerprint, Target: ev.Target, At: ev.At})
+	e.poison.Crashed(now, idempotency.Crash(ev))
 }
