--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -195,7 +195,7 @@
 		return eris.New("validate: the daemon is not provisioned")
 	case d.self.Zone == "" || d.self.Region == "":
 		return eris.New("validate: zone and region must be set")
-	case d.settings.Limits.HeaderBytes <= 0 || d.settings.Limits.BodyBytes <= 0:
+	case d.settings.Limits.HeaderBytes <= 0 || d.settings.Limits.BodyBytes < 0:
 		return eris.New("validate: limits must be positive")
 	}
 	return nil
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -95,7 +95,7 @@
 	for pause := registerPause; ; pause = min(2*pause, registerMaxPause) {
 		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 		err := d.platform.Register(ctx, platform.Instance{
-			ID: d.self.ID, Address: d.peerAt, Zone: d.self.Zone, Role: platform.RoleEntry,
+			ID: d.self.ID, Address: d.peerAt, Operators: d.operatorsAt, Zone: d.self.Zone, Role: platform.RoleEntry,
 		})
 		cancel()
 		if err == nil {
--- /dev/null
+++ b/peer/links_test.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachioford.example/core/control"
+	"pistachioford.example/core/member"
+	"pistachioford.example/core/traffic"
+)
+
+// received keeps what a server got.
+type received struct {
+	messages chan control.Message
+	loads    chan LoadHint
+	poison   chan PoisonSuspect
+	leaving  chan LeavingUpstream
+}
+
+func (r *received) Control(m control.Message) { r.messages <- m }
+func (r *received) Load(h LoadHint)           { r.loads <- h }
+func (r *received) Poison(s PoisonSuspect)    { r.poison <- s }
+func (r *received) Leaving(l LeavingUpstream) { r.leaving <- l }
+
+func startServer(t *testing.T, certificates *Certificates) (string, *received) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	r := &received{
+		messages: make(chan control.Message, 64), loads: make(chan LoadHint, 1),
+		poison: make(chan PoisonSuspect, 1), leaving: make(chan LeavingUpstream, 1),
+	}
+	server := NewServer(certificates.Listen(listener), r)
+	go func() { _ = server.Serve() }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String(), r
+}
+
+// authority signs certificates of instances.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(is *is.I) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	return &authority{key: key, certificate: &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}}
+}
+
+// issue writes a new certificate with its key, and the authority.
+func (a *authority) issue(is *is.I, dir string, serial int64) Files {
+	files := Files{
+		Certificate: filepath.Join(dir, "c.pem"), Key: filepath.Join(dir, "k.pem"), Authority: filepath.Join(dir, "a.pem"),
+	}
+	own, err := x509.CreateCertificate(rand.Reader, a.certificate, a.certificate, &a.key.PublicKey, a.key)
+	is.NoErr(err)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), DNSNames: []string{ServerName},
+		NotBefore: a.certificate.NotBefore, NotAfter: a.certificate.NotAfter,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	signed, err := x509.CreateCertificate(rand.Reader, leaf, a.certificate, &key.PublicKey, a.key)
+	is.NoErr(err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	is.NoErr(err)
+	for name, block := range map[string]*pem.Block{
+		files.Certificate: {Type: "CERTIFICATE", Bytes: signed},
+		files.Key:         {Type: "PRIVATE KEY", Bytes: private},
+		files.Authority:   {Type: "CERTIFICATE", Bytes: own},
+	} {
+		is.NoErr(os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
+	}
+	return files
+}
+
+// Guards against messages that do not arrive, with and without TLS.
+func TestLinks(t *testing.T) {
+	for _, plain := range []bool{true, false} {
+		is := is.New(t)
+		var certificates *Certificates
+		if !plain {
+			var err error
+			certificates, err = LoadCertificates(newAuthority(is).issue(is, t.TempDir(), 2))
+			is.NoErr(err)
+		}
+		address, got := startServer(t, certificates)
+		links := NewLinks(certificates)
+		defer links.Close()
+		ping := &control.Ping{Sequence: 7}
+		ping.Sender = member.Record{ID: "x", Zone: "z", Shards: []member.Shard{{Index: 3, Epoch: 9}}}
+		links.Control(address, ping)
+		is.Equal(<-got.messages, control.Message(ping))
+		links.Load(address, LoadHint{Revision: 4, Load: traffic.PeerLoad{
+			Peer: "x", Free: []uint16{1, 2}, Wait: []time.Duration{0, time.Second},
+		}})
+		hint := <-got.loads
+		is.Equal(hint.Load.Wait, []time.Duration{0, time.Second})
+		done := make(chan struct{})
+		links.Poison([]string{address, "127.0.0.1:1"}, PoisonSuspect{Fingerprint: 5, Target: "t"}, 200*time.Millisecond, func() { close(done) })
+		is.Equal((<-got.poison).Fingerprint, uint64(5))
+		<-done
+		links.Leaving([]string{address}, LeavingUpstream{Target: "t", Seen: time.UnixMilli(9)})
+		is.Equal(<-got.leaving, LeavingUpstream{Target: "t", Seen: time.UnixMilli(9)})
+	}
+}
+
+// Guards against certificates that stay in use after their files changed, and
+// against peers of another authority.
+func TestCertificatesAreReread(t *testing.T) {
+	is := is.New(t)
+	old, next := newAuthority(is), newAuthority(is)
+	dir := t.TempDir()
+	files := old.issue(is, dir, 2)
+	certificates, err := LoadCertificates(files)
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	secure := certificates.Listen(listener)
+	go func() {
+		for {
+			conn, err := secure.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_ = conn.(*tls.Conn).Handshake()
+				_, _ = conn.Write([]byte("x"))
+				conn.Close()
+			}()
+		}
+	}()
+	dial := func(c *Certificates) error {
+		conn, err := c.Dial(listener.Addr().String(), time.Second)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		_, err = conn.Read(make([]byte, 1)) // the server refuses after the client's handshake
+		return err
+	}
+	is.NoErr(dial(certificates))
+	stranger, err := LoadCertificates(next.issue(is, t.TempDir(), 3))
+	is.NoErr(err)
+	is.True(dial(stranger) != nil)
+	is.NoErr(os.WriteFile(files.Certificate, []byte("half written"), 0o600))
+	certificates.mu.Lock()
+	certificates.checked = time.Time{}
+	certificates.mu.Unlock()
+	is.NoErr(dial(certificates)) // an unreadable file leaves the previous in use
+
+	next.issue(is, dir, 4)
+	certificates.mu.Lock()
+	certificates.checked = time.Time{}
+	certificates.mu.Unlock()
+	is.NoErr(dial(stranger)) // both now have the new authority
+}
