--- a/cmd/pistachioford/process_test.go
+++ b/cmd/pistachioford/process_test.go
@@ -31,6 +31,7 @@
 	f := startFleet(t)
 	f.awaitActive(1, f.instances...)
 	f.awaitShards(f.instances...)
+	f.awaitKeys(f.instances...)
 	steps := []struct {
 		name string
 		run  func(*testing.T)
@@ -60,16 +61,32 @@
 	})
 }
 
+// awaitKeys waits until keyed orders run: a new holder of a shard answers
+// "unknown" to keys made before it took the shard or within 2 s after.
+func (f *fleet) awaitKeys(instances ...*process) {
+	f.t.Helper()
+	for _, p := range instances {
+		f.await("keys of "+p.zone, func() bool {
+			all := newTally()
+			for shard := range 2 {
+				all.order(http.DefaultClient, p, &shard)
+			}
+			return len(all.answered) == 2
+		})
+	}
+}
+
 // tally counts what callers were told.
 type tally struct {
 	mu       sync.Mutex
 	answered map[string]bool
 	notRun   map[string]bool
 	unknown  map[string]bool
+	reasons  map[string]int
 }
 
 func newTally() *tally {
-	return &tally{answered: map[string]bool{}, notRun: map[string]bool{}, unknown: map[string]bool{}}
+	return &tally{answered: map[string]bool{}, notRun: map[string]bool{}, unknown: map[string]bool{}, reasons: map[string]int{}}
 }
 
 // callers sends orders through the instances for a while; until ends it.
@@ -84,7 +101,12 @@
 				case <-until:
 					return
 				default:
-					all.order(client, instances[rand.IntN(len(instances))], keyed)
+					var shard *int
+					if keyed {
+						shard = new(int)
+						*shard = rand.IntN(2)
+					}
+					all.order(client, instances[rand.IntN(len(instances))], shard)
 				}
 			}
 		})
@@ -93,11 +115,12 @@
 	return all
 }
 
-func (a *tally) order(client *http.Client, p *process, keyed bool) {
+// order sends one order, with a key of the shard if that is not nil.
+func (a *tally) order(client *http.Client, p *process, shard *int) {
 	id := uuid.Must(uuid.NewV7()).String()
 	request, _ := http.NewRequest("POST", "http://"+p.callers+"/orders/new", strings.NewReader(id))
-	if keyed {
-		request.Header.Set("Idempotency-Key", fmt.Sprintf("%s.%d.%s", p.zone, rand.IntN(2), id))
+	if shard != nil {
+		request.Header.Set("Idempotency-Key", fmt.Sprintf("%s.%d.%s", p.zone, *shard, id))
 	}
 	// Without GetBody, the caller's client cannot resend by itself.
 	request.GetBody = nil
@@ -115,6 +138,7 @@
 		a.unknown[id] = true
 	case response.Header.Get(upstream.HeaderOutcome) == upstream.OutcomeNotRun:
 		a.notRun[id] = true
+		a.reasons[response.Header.Get(upstream.HeaderReason)]++
 	case response.StatusCode == 200 && string(body) == id:
 		a.answered[id] = true
 	default:
@@ -152,6 +176,7 @@
 	is := is.New(t)
 	for _, keyed := range []bool{false, true} {
 		all := during(f.instances, keyed, func() {})
+		t.Logf("answered %d, not run %v, unknown %d", len(all.answered), all.reasons, len(all.unknown))
 		is.True(len(all.answered) > 0)
 		is.Equal(len(all.unknown), 0)
 		f.checkRuns(is, all)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -72,7 +72,8 @@
 		case control.ActivateDocument:
 			d.activate(a.Document)
 		case control.ActivateBlocks:
-			d.publish(func(v *entry.View) { v.Sites = sites{a.Table} })
+			d.blocks = a.Table
+			d.publish(func(v *entry.View) { v.Sites = newSites(d.blocks, v.Document) })
 		case control.HoldShards:
 			d.hold(a)
 		case control.ShowPeers:
@@ -93,7 +94,10 @@
 }
 
 func (d *Daemon) activate(doc *document.Compiled) {
-	d.publish(func(v *entry.View) { v.Document = doc })
+	d.publish(func(v *entry.View) {
+		v.Document = doc
+		v.Sites = newSites(d.blocks, doc)
+	})
 	d.steer.SetDocument(doc)
 	d.poller.SetTargets(d.polled(doc))
 	d.steerPeers(d.view.Load())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/idempotency"
@@ -64,8 +65,9 @@
 	servers conc.WaitGroup
 	calls   conc.WaitGroup
 
-	// engine and signs belong to the control goroutine once it runs.
+	// engine and blocks belong to the control goroutine once it runs.
 	engine *control.Engine
+	blocks *blocks.Table
 	signs  upstreamSigns
 }
 
--- a/daemon/sites.go
+++ b/daemon/sites.go
@@ -5,13 +5,38 @@
 
 	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/document"
+	"pistachioford.example/pistachioford/entry"
 )
 
-// sites implements entry.Sites by the table of client blocks.
-type sites struct{ table *blocks.Table }
+// sites implements entry.Sites: it translates the site numbers of a table of
+// client blocks to those of a document by name.
+type sites struct {
+	table *blocks.Table
+	ids   []document.SiteID
+	known []bool
+}
+
+func newSites(table *blocks.Table, doc *document.Compiled) entry.Sites {
+	if table == nil || doc == nil {
+		return nil
+	}
+	byName := map[string]document.SiteID{}
+	for i := range doc.Sites {
+		byName[doc.Sites[i].Name] = document.SiteID(i)
+	}
+	names := table.Sites()
+	s := &sites{table: table, ids: make([]document.SiteID, len(names)), known: make([]bool, len(names))}
+	for i, name := range names {
+		s.ids[i], s.known[i] = byName[name]
+	}
+	return s
+}
 
 // Locate may be called from any goroutine.
-func (s sites) Locate(address netip.Addr) (document.SiteID, bool) {
+func (s *sites) Locate(address netip.Addr) (document.SiteID, bool) {
 	site, found := s.table.Lookup(address)
-	return document.SiteID(site), found
+	if !found || !s.known[site] {
+		return 0, false
+	}
+	return s.ids[site], true
 }
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -57,12 +57,15 @@
 		return decodeDigest(body.Digest, h), true, nil
 	case *wire.ControlMessage_MembersFetch:
 		b := body.MembersFetch
-		return &control.MembersFetch{Header: h, Zone: b.GetZone(), After: control.InstanceID(b.GetAfter())}, true, nil
+		return &control.MembersFetch{
+			Header: h, Zone: b.GetZone(), After: control.InstanceID(b.GetAfter()), Round: b.GetRound(),
+		}, true, nil
 	case *wire.ControlMessage_MembersAnswer:
 		b := body.MembersAnswer
 		members, err := decodeRecords(b.GetMembers())
 		return &control.MembersAnswer{
-			Header: h, Zone: b.GetZone(), After: control.InstanceID(b.GetAfter()), Members: members, More: b.GetMore(),
+			Header: h, Zone: b.GetZone(), After: control.InstanceID(b.GetAfter()),
+			Members: members, More: b.GetMore(), Round: b.GetRound(),
 		}, true, err
 	}
 	return nil, false, nil
@@ -76,17 +79,17 @@
 		b := body.HeadAnswer
 		return &control.HeadAnswer{Header: h, Head: decodeHead(b.GetHead()), Synced: b.GetSynced()}, true, nil
 	case *wire.ControlMessage_Offer:
-		head := decodeHead(body.Offer)
+		head := decodeHead(body.Offer.GetHead())
 		if head == nil {
 			return nil, true, errors.New("offer without a head")
 		}
-		return &control.Offer{Header: h, Head: *head}, true, nil
+		return &control.Offer{Header: h, Head: *head, Round: body.Offer.GetRound()}, true, nil
 	case *wire.ControlMessage_Acknowledgement:
 		b := body.Acknowledgement
 		starting, err := decodeRecords(b.GetStarting())
 		return &control.Acknowledgement{
 			Header: h, Revision: b.GetRevision(), Digest: b.GetDigest(),
-			Held: b.GetHeld(), Synced: b.GetSynced(), Starting: starting,
+			Held: b.GetHeld(), Synced: b.GetSynced(), Starting: starting, Round: b.GetRound(),
 		}, true, err
 	case *wire.ControlMessage_SectionFetch:
 		b := body.SectionFetch
@@ -158,7 +161,7 @@
 		return control.Header{}, err
 	}
 	updates, err := decodeRecords(h.Updates)
-	return control.Header{Sender: sender, Revision: h.Revision, Updates: updates}, err
+	return control.Header{Sender: sender, Revision: h.Revision, ZoneHash: h.ZoneHash, Updates: updates}, err
 }
 
 func decodeRecords(records []*wire.Record) ([]member.Record, error) {
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -35,11 +35,11 @@
 		out.Body = &wire.ControlMessage_Digest{Digest: encodeDigest(m)}
 	case *control.MembersFetch:
 		out.Body = &wire.ControlMessage_MembersFetch{MembersFetch: &wire.MembersFetch{
-			Zone: m.Zone, After: string(m.After),
+			Zone: m.Zone, After: string(m.After), Round: m.Round,
 		}}
 	case *control.MembersAnswer:
 		out.Body = &wire.ControlMessage_MembersAnswer{MembersAnswer: &wire.MembersAnswer{
-			Zone: m.Zone, After: string(m.After), Members: encodeRecords(m.Members), More: m.More,
+			Zone: m.Zone, After: string(m.After), Members: encodeRecords(m.Members), More: m.More, Round: m.Round,
 		}}
 	default:
 		return false
@@ -56,11 +56,11 @@
 			Head: encodeHead(m.Head), Synced: m.Synced,
 		}}
 	case *control.Offer:
-		out.Body = &wire.ControlMessage_Offer{Offer: encodeHead(&m.Head)}
+		out.Body = &wire.ControlMessage_Offer{Offer: &wire.Offer{Head: encodeHead(&m.Head), Round: m.Round}}
 	case *control.Acknowledgement:
 		out.Body = &wire.ControlMessage_Acknowledgement{Acknowledgement: &wire.Acknowledgement{
 			Revision: m.Revision, Digest: m.Digest, Held: m.Held, Synced: m.Synced,
-			Starting: encodeRecords(m.Starting),
+			Starting: encodeRecords(m.Starting), Round: m.Round,
 		}}
 	case *control.SectionFetch:
 		out.Body = &wire.ControlMessage_SectionFetch{SectionFetch: &wire.DataFetch{Hash: m.Hash, Offset: m.Offset}}
@@ -117,6 +117,7 @@
 	return &wire.Header{
 		Sender:   encodeRecord(&h.Sender),
 		Revision: h.Revision,
+		ZoneHash: h.ZoneHash,
 		Updates:  encodeRecords(h.Updates),
 	}
 }
