--- a/cmd/pistachioford/process_test.go
+++ b/cmd/pistachioford/process_test.go
@@ -192,7 +192,7 @@
 
 func (f *fleet) testChange(t *testing.T) {
 	is := is.New(t)
-	all := during(f.instances, true, func() {
+	all := during(f.instances, false, func() {
 		f.apply(2)
 		f.awaitActive(2, f.instances...)
 	})
@@ -248,7 +248,7 @@
 	is := is.New(t)
 	is.NoErr(f.standin.Process.Signal(syscall.SIGSTOP))
 	restarted := f.instances[1]
-	all := during([]*process{f.instances[0], f.instances[2], f.instances[3]}, true, func() {
+	all := during([]*process{f.instances[0], f.instances[2], f.instances[3]}, false, func() {
 		is.NoErr(restarted.command.Process.Signal(syscall.SIGTERM))
 		is.NoErr(restarted.command.Wait())
 		f.start(restarted)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -24,9 +24,7 @@
 		case event := <-d.events:
 			d.act(d.engine.Handle(time.Now(), event))
 		case now := <-ticker.C:
-			if d.closed.Load() {
-				d.act(d.engine.Handle(now, control.InFlight{Requests: d.inFlight()}))
-			}
+			d.act(d.engine.Handle(now, control.InFlight{Requests: d.undrained()}))
 			d.act(d.engine.Tick(time.Now()))
 		}
 	}
@@ -35,6 +33,19 @@
 // inFlight counts requests, those whose body is still arriving included.
 func (d *Daemon) inFlight() int { return d.proxy.Active() + d.steer.InFlight() }
 
+// undrained counts the requests that may use a shard which is being given up.
+// A leaving instance counts as busy until its ports are closed.
+func (d *Daemon) undrained() int {
+	switch {
+	case !d.view.Load().Leaving:
+		return d.steer.InFlightBefore()
+	case d.closed.Load():
+		return d.inFlight()
+	default:
+		return d.inFlight() + 1
+	}
+}
+
 // post passes an event on and waits for room. It returns false when the daemon
 // stops.
 func (d *Daemon) post(event control.Event) bool {
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -34,6 +34,8 @@
 	// heldUntil is when the shards must no longer be used.
 	heldUntil time.Time
 	held      []traffic.HeldShard
+	// heldSince is the last request that arrived before held changed.
+	heldSince traffic.RequestID
 }
 
 // NewSteer returns a Steer around engine, which it then owns.
@@ -104,6 +106,7 @@
 		return
 	}
 	s.held = held
+	s.heldSince = s.lastID
 	s.dispatch(s.engine.Handle(time.Now(), traffic.ShardsChanged{Held: held}))
 }
 
@@ -134,6 +137,21 @@
 	return len(s.requests)
 }
 
+// InFlightBefore returns the number of requests that arrived before the held
+// shards last changed. Later ones do not use a shard that was given up then, so
+// that a shard can move under a load that never ends.
+func (s *Steer) InFlightBefore() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := 0
+	for id := range s.requests {
+		if id <= s.heldSince {
+			before++
+		}
+	}
+	return before
+}
+
 // arrive starts a request; its goroutine then waits on the inbox.
 func (s *Steer) arrive(r *request, ev traffic.RequestArrived) {
 	s.mu.Lock()
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -24,6 +25,10 @@
 
 // fill sets every field to a value that is not its zero value.
 func fill(v reflect.Value) {
+	if v.Type() == reflect.TypeFor[time.Time]() {
+		v.Set(reflect.ValueOf(time.Unix(3, 4)))
+		return
+	}
 	switch v.Kind() {
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/lease"
@@ -132,6 +133,7 @@
 		shard, err := decodeIndex(b.GetShard())
 		return &control.LeaseHandover{
 			Header: h, Shard: shard, Epoch: b.GetEpoch(), Row: decodeRow(b.GetRow()), Version: b.GetVersion(),
+			Sent: time.Unix(0, b.GetSentUnixNs()),
 		}, true, err
 	case *wire.ControlMessage_LeaseHandoverAnswer:
 		b := body.LeaseHandoverAnswer
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -102,6 +102,7 @@
 	case *control.LeaseHandover:
 		out.Body = &wire.ControlMessage_LeaseHandover{LeaseHandover: &wire.LeaseHandover{
 			Shard: uint32(m.Shard), Epoch: m.Epoch, Row: encodeRow(&m.Row), Version: m.Version,
+			SentUnixNs: m.Sent.UnixNano(),
 		}}
 	case *control.LeaseHandoverAnswer:
 		out.Body = &wire.ControlMessage_LeaseHandoverAnswer{LeaseHandoverAnswer: &wire.LeaseHandoverAnswer{
