--- a/cmd/pistachioford/run.go
+++ b/cmd/pistachioford/run.go
@@ -68,11 +68,11 @@
 }
 
 func runDaemon(file string) int {
-	telemetry.ConfigureLog()
 	loaded, code := loadSettings(file)
 	if loaded == nil {
 		return code
 	}
+	telemetry.ConfigureLog(loaded.LogLevel)
 	client, err := platform.NewClient(platform.Config{URL: loaded.Platform})
 	if err != nil {
 		return fail("platform", err)
@@ -102,7 +102,7 @@
 }
 
 func runDemo() int {
-	telemetry.ConfigureLog()
+	telemetry.ConfigureLog(telemetry.LevelInfo)
 	stop, again := signals()
 	fleet, err := demo.Start(stop)
 	if err != nil {
@@ -123,7 +123,7 @@
 }
 
 func runPlatform(address string) int {
-	telemetry.ConfigureLog()
+	telemetry.ConfigureLog(telemetry.LevelInfo)
 	stop, _ := signals()
 	s, err := standin.Start(standin.Options{Address: address})
 	if err != nil {
--- /dev/null
+++ b/entry/log.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"pistachioford.example/core/document"
+	"pistachioford.example/core/traffic"
+	"pistachioford.example/pistachioford/telemetry"
+	"pistachioford.example/pistachioford/upstream"
+)
+
+var outcomeNames = map[traffic.Outcome]string{
+	traffic.Answered:  "answered",
+	traffic.NotRun:    upstream.OutcomeNotRun,
+	traffic.Unknown:   upstream.OutcomeUnknown,
+	traffic.KeyReused: upstream.OutcomeKeyReused,
+	traffic.BadKey:    upstream.OutcomeBadKey,
+}
+
+// log writes one line about a request: outcomes that callers have to look into
+// at the level info, all others at debug, since a flood would fill the log.
+// Paths, queries, keys and header fields may hold secrets and are left out.
+func (p *Proxy) log(doc *document.Compiled, arrived *traffic.RequestArrived, reply *traffic.Reply) {
+	unknown := reply != nil && reply.Outcome == traffic.Unknown
+	if !unknown && !telemetry.Debugging() {
+		return
+	}
+	write := telemetry.Debug
+	if unknown {
+		write = telemetry.Event
+	}
+	write("request", p.requestFields(doc, arrived, reply)...)
+}
+
+func (p *Proxy) requestFields(doc *document.Compiled, arrived *traffic.RequestArrived, reply *traffic.Reply) []telemetry.Field {
+	service, from := "", ""
+	if doc != nil {
+		service = doc.Services[arrived.Service].Name
+	}
+	if arrived.Forwarded != nil {
+		from = string(arrived.Forwarded.From)
+	}
+	fields := []telemetry.Field{
+		telemetry.F("instance", p.self.ID), telemetry.F("service", service), telemetry.F("from", from),
+		telemetry.F("keyed", arrived.Key != ""), telemetry.F("body_bytes", arrived.BodyBytes),
+	}
+	if reply == nil {
+		return append(fields, telemetry.F("outcome", "caller-gone"))
+	}
+	fields = append(fields,
+		telemetry.F("outcome", outcomeNames[reply.Outcome]), telemetry.F("reason", reply.Reason),
+		telemetry.F("attempts", reply.Runs), telemetry.F("replayed", reply.Replayed))
+	if answer, ok := reply.Answer.(*upstream.Answer); ok {
+		fields = append(fields, telemetry.F("status", answer.Header.StatusCode()), telemetry.F("answer_bytes", answer.Length))
+	}
+	return fields
+}
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -73,6 +73,7 @@
 	p.steer.arrive(request, arrived)
 	reply, released := request.run(p.steer)
 	p.answer(ctx, reply)
+	p.log(view.Document, &arrived, reply)
 	if forwarded != nil && reply != nil {
 		ctx.Response.Header.Set(headerRuns, strconv.Itoa(int(reply.Runs)))
 	}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,9 +21,22 @@
 // F returns a Field.
 func F(key string, value any) Field { return Field{Key: key, Value: value} }
 
-// ConfigureLog makes klog write bare lines to standard error. It is called
-// once, before the first event.
-func ConfigureLog() {
+// Levels of the log, as the settings name them.
+const (
+	LevelDebug   = "debug"
+	LevelInfo    = "info"
+	LevelWarning = "warning"
+	LevelError   = "error"
+)
+
+// rank is the lowest rank that is logged; a request at each rank is one line.
+var rank atomic.Int32
+
+var ranks = map[string]int32{LevelDebug: -1, LevelInfo: 0, LevelWarning: 1, LevelError: 2}
+
+// ConfigureLog makes klog write bare lines of at least a level to standard
+// error. An unknown level means info.
+func ConfigureLog(level string) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	for name, value := range map[string]string{"logtostderr": "true", "skip_headers": "true"} {
@@ -30,12 +44,27 @@
 			panic(err) // The flags are those of the pinned klog version.
 		}
 	}
+	rank.Store(ranks[level])
+}
+
+// Debugging tells whether Debug writes; callers avoid the cost of the fields.
+func Debugging() bool { return rank.Load() <= ranks[LevelDebug] }
+
+// Debug logs one line about something that happens often.
+func Debug(name string, fields ...Field) {
+	if Debugging() {
+		klog.InfoDepth(1, Line(name, fields...))
+	}
 }
 
 // Event logs one line. Any goroutine may call it.
-func Event(name string, fields ...Field) { klog.InfoDepth(1, Line(name, fields...)) }
+func Event(name string, fields ...Field) {
+	if rank.Load() <= ranks[LevelInfo] {
+		klog.InfoDepth(1, Line(name, fields...))
+	}
+}
 
-// Failure logs one line about a step that failed.
+// Failure logs one line about a step that failed, at any level.
 func Failure(name string, err error, fields ...Field) {
 	klog.ErrorDepth(1, Line(name, append(fields, F("error", err))...))
 }
