--- a/daemon/control.go
+++ b/daemon/control.go
@@ -24,9 +24,7 @@
 		case event := <-d.events:
 			d.act(d.engine.Handle(time.Now(), event))
 		case now := <-ticker.C:
-			if d.closed.Load() {
-				d.act(d.engine.Handle(now, control.InFlight{Requests: d.inFlight()}))
-			}
+			d.act(d.engine.Handle(now, control.InFlight{Requests: d.undrained()}))
 			d.act(d.engine.Tick(time.Now()))
 		}
 	}
@@ -35,6 +33,19 @@
 // inFlight counts requests, those whose body is still arriving included.
 func (d *Daemon) inFlight() int { return d.proxy.Active() + d.steer.InFlight() }
 
+// undrained counts the requests that may use a shard which is being given up.
+// A leaving instance counts as busy until its ports are closed.
+func (d *Daemon) undrained() int {
+	switch {
+	case !d.view.Load().Leaving:
+		return d.steer.InFlightBefore()
+	case d.closed.Load():
+		return d.inFlight()
+	default:
+		return d.inFlight() + 1
+	}
+}
+
 // post passes an event on and waits for room. It returns false when the daemon
 // stops.
 func (d *Daemon) post(event control.Event) bool {
@@ -72,7 +83,8 @@
 		case control.ActivateDocument:
 			d.activate(a.Document)
 		case control.ActivateBlocks:
-			d.publish(func(v *entry.View) { v.Sites = sites{a.Table} })
+			d.blocks = a.Table
+			d.publish(func(v *entry.View) { v.Sites = newSites(d.blocks, v.Document) })
 		case control.HoldShards:
 			d.hold(a)
 		case control.ShowPeers:
@@ -93,7 +105,10 @@
 }
 
 func (d *Daemon) activate(doc *document.Compiled) {
-	d.publish(func(v *entry.View) { v.Document = doc })
+	d.publish(func(v *entry.View) {
+		v.Document = doc
+		v.Sites = newSites(d.blocks, doc)
+	})
 	d.steer.SetDocument(doc)
 	d.poller.SetTargets(d.polled(doc))
 	d.steerPeers(d.view.Load())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/idempotency"
@@ -64,8 +65,9 @@
 	servers conc.WaitGroup
 	calls   conc.WaitGroup
 
-	// engine and signs belong to the control goroutine once it runs.
+	// engine and blocks belong to the control goroutine once it runs.
 	engine *control.Engine
+	blocks *blocks.Table
 	signs  upstreamSigns
 }
 
@@ -195,7 +197,7 @@
 		return eris.New("validate: the daemon is not provisioned")
 	case d.self.Zone == "" || d.self.Region == "":
 		return eris.New("validate: zone and region must be set")
-	case d.settings.Limits.HeaderBytes <= 0 || d.settings.Limits.BodyBytes <= 0:
+	case d.settings.Limits.HeaderBytes <= 0 || d.settings.Limits.BodyBytes < 0:
 		return eris.New("validate: limits must be positive")
 	}
 	return nil
