--- a/core/traffic/group.go
+++ b/core/traffic/group.go
@@ -63,7 +63,7 @@
 	if row, ok := t.byName[name]; ok {
 		return row
 	}
-	g := group{name: name, retries: limit.NewRetryBudget(), lent: queue{head: none, tail: none}}
+	g := group{name: name, retries: limit.NewRetryBudget(), lent: queue{head: none, tail: none}, recallTime: usualService}
 	for p := range g.queues {
 		g.queues[p] = queue{head: none, tail: none}
 	}
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -20,6 +20,7 @@
 	docs    []*document.Compiled
 	nodes   []*node
 	faults  faults
+	flood   float64 // share of additional background reads
 	service func(*rand.Rand) time.Duration
 	copies  []*workCopy
 	runs    map[string]int // by identity
