traffic: never resend an unkeyed order that was sent; guard streamed answers

An attempt with half of the deadline could have cut a streamed answer, and an answer that began while its exchange was recalled would have been cut too. A run of stale requests at the head of a queue left slots idle until the next tick.

--- a/core/traffic/dispatch.go
+++ b/core/traffic/dispatch.go
@@ -13,6 +13,9 @@
 	// hangFactor is how many times the cautious estimate an attempt may take
 	// before it is given up for another target.
 	hangFactor = 4
+	// streamedBytes is the size above which answers are streamed; an attempt that
+	// is given up then would cut an answer that the caller already reads.
+	streamedBytes = 1 << 20
 )
 
 // dispatch gives the free slots of a group to its queues.
@@ -39,16 +42,15 @@
 // startQueued starts the first request of a queue that can use a free slot.
 func (e *Engine) startQueued(now time.Time, g int32, p document.Priority) bool {
 	row := e.groups.rows[g].queues[p].head
-	for range dispatchScan {
-		if row == none {
-			return false
-		}
+	for tried := 0; row != none && tried < dispatchScan; {
 		next := e.requests.rows[row].next
 		if reason := e.stale(now, row); reason != ReasonNone {
 			e.dequeue(row)
 			e.refuse(now, row, reason)
 		} else if e.startFromQueue(now, row) {
 			return true
+		} else {
+			tried++
 		}
 		row = next
 	}
@@ -117,7 +119,7 @@
 	r := &e.requests.rows[row]
 	g := &e.groups.rows[r.group]
 	s := &e.services.rows[r.service]
-	if !s.idempotent || !r.replayable || s.time.mean == 0 {
+	if !s.idempotent || !r.replayable || s.time.mean == 0 || s.answerBytes > streamedBytes {
 		return r.deadline
 	}
 	half := r.deadline.Sub(now) / 2
--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -121,7 +121,8 @@
 // otherwise.
 func (e *Engine) retryOr(now time.Time, row int32, class limit.RetryClass, end ending) {
 	r := &e.requests.rows[row]
-	if r.ran && !e.services.rows[r.service].idempotent {
+	if !e.services.rows[r.service].idempotent && (r.ran || r.key == "" && end.reason == ReasonShed) {
+		// Without a key, not even a shed request is sent to an upstream again.
 		e.finish(now, row, end)
 		return
 	}
@@ -215,7 +216,9 @@
 	if r.attempt != ev.Attempt || r.state != stateUpstream && r.state != statePeer {
 		return
 	}
-	if r.streamed {
+	if r.streamed || r.recalling {
+		// The exchange of a recalled request is being cut, so its answer must not
+		// begin to reach the caller.
 		return
 	}
 	e.unlend(row)
