--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -38,6 +38,8 @@
 	Poison bool
 	// Resends is how often callers repeat after any outcome but an answer.
 	Resends int
+	// Unkeyed callers send no idempotency key.
+	Unkeyed bool
 	// Count ends the load after that many requests; zero: none.
 	Count int
 
@@ -102,7 +104,7 @@
 	if l.Distinct > 0 {
 		r.fingerprint = hashName(l.Name) + r.id%l.Distinct
 	}
-	if !service.Idempotent {
+	if !service.Idempotent && !l.Unkeyed {
 		r.key = w.newKey(r, l)
 	}
 	w.stats.offered(r)
@@ -237,7 +239,8 @@
 	if r.ended {
 		return
 	}
-	if outcome == broken || (outcome == unknown && r.key != "") {
+	repeatable := r.key != "" || c.service().Idempotent
+	if (outcome == broken && repeatable) || (outcome == unknown && r.key != "") {
 		wanted = max(wanted, maxResends)
 	}
 	if r.sent > wanted {
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -84,7 +84,8 @@
 }
 
 // Load is the line "load NAME service=S rate=N [zones=Z] [from=D] [to=D]
-// [bytes=N] [distinct=N] [count=N] [resends=N] [poison=true]".
+// [bytes=N] [distinct=N] [count=N] [resends=N] [unkeyed=true]
+// [poison=true]".
 func (s *Script) Load(args []string) error {
 	if len(args) < 2 || s.settings.Platform == nil {
 		return errors.New("usage: load NAME service=S rate=N")
@@ -100,6 +101,7 @@
 		"distinct": func(v string) (err error) { l.Distinct, err = strconv.ParseUint(v, 10, 64); return },
 		"count":    func(v string) (err error) { l.Count, err = strconv.Atoi(v); return },
 		"resends":  func(v string) (err error) { l.Resends, err = strconv.Atoi(v); return },
+		"unkeyed":  func(v string) (err error) { l.Unkeyed, err = strconv.ParseBool(v); return },
 		"poison":   func(v string) (err error) { l.Poison, err = strconv.ParseBool(v); return },
 	})
 	if err != nil {
