traffic: say "not run" about a key only as its owner

Cause: an instance that could not reach a key's owner, or had no document or service for the request, told "not run" although an earlier attempt with the key through another instance may have run. A caller that then made a new key would have doubled its order. Ruled out: asking another instance, which knows no more than this one.

Such requests now hear "outcome unknown" with the reason and Retry-After.

The first holder of a shard has no earlier records to miss, so it does not treat keys without a time as older than its takeover (TestTakeoverTime).

--- a/core/control/event.go
+++ b/core/control/event.go
@@ -124,8 +124,10 @@
 
 // HeldShard is a shard lease with its fencing epoch.
 type HeldShard struct {
-	Shard   document.ShardID
-	Epoch   uint64
+	Shard document.ShardID
+	Epoch uint64
+	// TakenAt is when this instance took the shard from an earlier holder; zero
+	// if it is the first holder.
 	TakenAt time.Time
 }
 
--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -145,3 +145,30 @@
 	is.Equal(len(s.all[1].held), 2)
 	s.noFaults(t)
 }
+
+// Guards against a first holder that refuses keys as if an earlier holder's
+// records were lost, and against a successor that does not.
+func TestTakeoverTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(5, 2, 2)
+	fleet(t, s, 2)
+	for _, n := range s.live() {
+		for _, h := range n.held {
+			is.True(h.TakenAt.IsZero())
+		}
+	}
+	s.live()[0].kill()
+	s.run(2 * time.Minute)
+	is.True(s.allHeld())
+	later := 0
+	for _, n := range s.live() {
+		for _, h := range n.held {
+			if !h.TakenAt.IsZero() {
+				later++
+			}
+		}
+	}
+	is.Equal(later, 1)
+	s.noFaults(t)
+}
--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -15,6 +15,8 @@
 	downTime = 5 * time.Second
 	// holdInterval is how often HoldShards is repeated.
 	holdInterval = 1 * time.Second
+	// firstEpoch is the epoch of a shard's first holder.
+	firstEpoch = 1
 )
 
 // leases is the state of the Engine around the lease.Keeper.
@@ -152,6 +154,15 @@
 	e.carryOutLeases(now)
 }
 
+// takeover returns when a shard was taken from an earlier holder; the first
+// holder has no earlier records to miss.
+func takeover(h lease.Held) time.Time {
+	if h.Epoch == firstEpoch {
+		return time.Time{}
+	}
+	return h.TakenAt
+}
+
 // holdersChanged tells the daemon and the peers which shards this instance
 // holds.
 func (e *Engine) holdersChanged(now time.Time) {
@@ -170,7 +181,7 @@
 	var held []HeldShard
 	for _, h := range e.keeper.Held() {
 		held = append(held, HeldShard{
-			Shard: document.ShardID{Zone: id, Index: h.Index}, Epoch: h.Epoch, TakenAt: h.TakenAt,
+			Shard: document.ShardID{Zone: id, Index: h.Index}, Epoch: h.Epoch, TakenAt: takeover(h),
 		})
 	}
 	if !slices.Equal(held, e.leases.held) {
--- a/core/traffic/admission.go
+++ b/core/traffic/admission.go
@@ -16,12 +16,12 @@
 		return
 	}
 	if e.doc == nil {
-		e.reject(ev.ID, ReasonNoDocument)
+		e.reject(ev, ReasonNoDocument)
 		return
 	}
 	service, ok := e.serviceRow(ev.Service, ev.Revision)
 	if !ok {
-		e.reject(ev.ID, ReasonNoService)
+		e.reject(ev, ReasonNoService)
 		return
 	}
 	row := e.newRequest(now, service, ev)
@@ -33,10 +33,14 @@
 }
 
 // reject refuses a request that never enters the table.
-func (e *Engine) reject(id RequestID, reason Reason) {
-	e.emit(Reply{ID: id, Outcome: NotRun, Reason: reason, RetryAfter: retryAfter})
+func (e *Engine) reject(ev *RequestArrived, reason Reason) {
+	outcome := NotRun
+	if ev.Key != "" && (ev.Forwarded == nil || ev.Forwarded.ToOwner) {
+		outcome = Unknown // An earlier attempt with the key may have run.
+	}
+	e.emit(Reply{ID: ev.ID, Outcome: outcome, Reason: reason, RetryAfter: retryAfter})
 	e.count(CountRefusal, reason)
-	e.emit(Release{ID: id})
+	e.emit(Release{ID: ev.ID})
 }
 
 func (e *Engine) newRequest(now time.Time, service int32, ev *RequestArrived) int32 {
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -57,6 +57,45 @@
 	}
 }
 
+// TestOnlyOwnerSaysNotRun guards against "not run" for a key that an earlier
+// attempt through another instance may have run.
+func TestOnlyOwnerSaysNotRun(t *testing.T) {
+	remote := func(r *rig) string { return keyAt("a2", 0, r.now, 1) }
+	toOwner := func(result Result, reason Reason) func(*rig) {
+		return func(r *rig) {
+			r.peers()
+			id := r.ask(RequestArrived{Service: order, Key: remote(r)})
+			r.do(ExchangeEnded{ID: id, Attempt: 1, Result: result, Reason: reason})
+		}
+	}
+	cases := map[string]struct {
+		run     func(*rig)
+		outcome Outcome
+		reason  Reason
+	}{
+		"owner unknown":      {func(r *rig) { r.ask(RequestArrived{Service: order, Key: remote(r)}) }, Unknown, ReasonOwnerUnreachable},
+		"owner not reached":  {toOwner(NotSent, ReasonNone), Unknown, ReasonOwnerUnreachable},
+		"owner refused":      {toOwner(Shed, ReasonDeadline), NotRun, ReasonDeadline},
+		"service not listed": {func(r *rig) { r.ask(RequestArrived{Service: 99, Key: remote(r)}) }, Unknown, ReasonNoService},
+		"lease has moved": {func(r *rig) {
+			r.ask(RequestArrived{Service: order, Key: remote(r), Forwarded: &Forwarded{From: "p2", ToOwner: true}})
+		}, Unknown, ReasonOwnerUnreachable},
+		"no key": {func(r *rig) { r.ask(RequestArrived{Service: 99}) }, NotRun, ReasonNoService},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(nil)
+			c.run(r)
+			replies := of[Reply](r)
+			is.Equal(len(replies), 1)
+			is.Equal(replies[0].Outcome, c.outcome)
+			is.Equal(replies[0].Reason, c.reason)
+			is.True(replies[0].RetryAfter > 0)
+		})
+	}
+}
+
 // TestCopiesGetTheSameAnswer guards against a second run for a copy that
 // arrives during or after the first, also when the first caller went away.
 func TestCopiesGetTheSameAnswer(t *testing.T) {
--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -144,6 +144,7 @@
 	r.state = stateNew
 	e.noteRun(r, ev)
 	e.notePeer(now, r, ev)
+	r.ownerDecided = r.toOwner && ev.Result == Shed
 	if r.canceled && !r.owned || r.replied || r.toOwner {
 		e.finish(now, row, r.ownerEnding(ev))
 		return
--- a/core/traffic/finish.go
+++ b/core/traffic/finish.go
@@ -64,8 +64,13 @@
 // it, and its row.
 func (e *Engine) finish(now time.Time, row int32, end ending) {
 	r := &e.requests.rows[row]
-	if end.outcome == NotRun && r.ran {
+	switch {
+	case end.outcome != NotRun:
+	case r.ran:
 		end.outcome, end.reason = Unknown, r.ranReason
+	case r.key != "" && !r.forwarded && !r.ownerDecided:
+		// An earlier attempt with the key may have run; only its owner knows.
+		end.outcome = Unknown
 	}
 	e.reply(r, end)
 	e.settleKey(now, row, end)
@@ -93,7 +98,7 @@
 		return
 	}
 	reply.Reason = end.reason
-	if end.outcome == NotRun {
+	if !r.ran {
 		reply.RetryAfter = retryAfter
 	}
 	e.emit(reply)
--- a/core/traffic/key.go
+++ b/core/traffic/key.go
@@ -39,6 +39,7 @@
 // "not run".
 func (e *Engine) ownKey(now time.Time, row int32, key idempotency.Key, takenAt time.Time) {
 	r := &e.requests.rows[row]
+	r.ownerDecided = true
 	decision := e.keys.Begin(now, idempotency.Request{
 		Key: key, Fingerprint: r.fingerprint, ID: uint64(r.id),
 		TakenAt: takenAt, Retention: e.doc.KeyRetention,
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -55,6 +55,7 @@
 	// one has ended.
 	lent, recalling, recalled bool
 	toOwner                   bool // the exchange is with the key's owner
+	ownerDecided              bool // the key's owner looked at its records
 	canceled                  bool
 	replied                   bool
 	// ran is set when an attempt may have run; the request is then never told
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -94,7 +94,7 @@
 	id, found := match(doc, hostOf(ctx), ctx.Path())
 	if !found {
 		telemetry.Count(traffic.Count{Kind: traffic.CountRefusal, Reason: traffic.ReasonNoService})
-		p.answer(ctx, &traffic.Reply{Outcome: traffic.NotRun, Reason: traffic.ReasonNoService})
+		p.answer(ctx, &traffic.Reply{Outcome: unmatchedOutcome(r.header), Reason: traffic.ReasonNoService})
 		ctx.SetConnectionClose()
 		return false
 	}
@@ -115,6 +115,15 @@
 	return true
 }
 
+// unmatchedOutcome is that of a request without a service. An earlier attempt
+// with its key may have run under another revision of the document.
+func unmatchedOutcome(header *fasthttp.RequestHeader) traffic.Outcome {
+	if len(header.Peek(headerKey)) > 0 {
+		return traffic.Unknown
+	}
+	return traffic.NotRun
+}
+
 // refuseBody answers a request whose body cannot be taken. The connection is
 // closed, since the rest of the body is still on it.
 func refuseBody(ctx *fasthttp.RequestCtx, err error) {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -40,6 +40,9 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(reply.RetryAfter))
 	case traffic.Unknown:
 		refuse(ctx, fasthttp.StatusGatewayTimeout, upstream.OutcomeUnknown, reply.Reason)
+		if reply.RetryAfter > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(reply.RetryAfter))
+		}
 	case traffic.KeyReused:
 		refuse(ctx, fasthttp.StatusUnprocessableEntity, upstream.OutcomeKeyReused, traffic.ReasonKeyReused)
 	case traffic.BadKey:
