--- a/entry/proxy_test.go
+++ b/entry/proxy_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/control"
+	"pistachioford.example/core/document"
 	"pistachioford.example/core/traffic"
 	"pistachioford.example/pistachioford/upstream"
 )
@@ -249,3 +251,99 @@
 	response, _ := do(t, "GET", i.url(LookupPath+"?client=none"), nil)
 	is.Equal(response.StatusCode, 400)
 }
+
+// Guards against a large answer that reaches the caller cut without an error,
+// and against a wrong length in the answer to HEAD.
+func TestLargeAnswers(t *testing.T) {
+	const size = upstream.MaxHeldBytes + 10
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/reads/whole":
+			ctx.SetBody(make([]byte, size))
+		case "/reads/chunked":
+			ctx.SetBodyStream(bytes.NewReader(make([]byte, size)), -1)
+		case "/reads/broken":
+			ctx.Response.Header.SetContentLength(size)
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1048586\r\n\r\n")
+				_, _ = conn.Write(make([]byte, size/2))
+			})
+		}
+	})
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+	for _, path := range []string{"/reads/whole", "/reads/chunked"} {
+		is := is.New(t)
+		response, body := do(t, "GET", i.url(path), nil)
+		is.Equal(response.StatusCode, 200)
+		is.Equal(len(body), size)
+	}
+	is := is.New(t)
+	response, err := http.Get(i.url("/reads/broken"))
+	is.NoErr(err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+	head, _ := do(t, "HEAD", i.url("/reads/whole"), nil)
+	is.Equal(head.ContentLength, int64(size))
+	for i.steer.InFlight() > 0 { // the slots are free again
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against unbounded memory and against requests of one caller that use
+// all connections.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, "127.0.0.1:1"))
+	response, _ := do(t, "GET", i.url("/reads/x"), nil, "X-Large", strings.Repeat("x", 17<<10))
+	is.Equal(response.StatusCode, 431)
+	large, err := net.Dial("tcp", i.callers.Address())
+	is.NoErr(err)
+	defer large.Close()
+	_, err = io.WriteString(large, "POST /orders/x HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\nx")
+	is.NoErr(err)
+	response, err = http.ReadResponse(bufio.NewReader(large), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 413)
+
+	limited := Limit(loopback(t), 1)
+	defer limited.Close()
+	go func() {
+		for {
+			conn, err := limited.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Write([]byte("x"))
+		}
+	}()
+	for n := range 2 {
+		conn, err := net.Dial("tcp", limited.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = conn.Read(make([]byte, 1))
+		is.Equal(err == nil, n == 0)
+	}
+}
+
+// fixedSites puts every client at one site.
+type fixedSites struct{ site document.SiteID }
+
+func (f fixedSites) Locate(netip.Addr) (document.SiteID, bool) { return f.site, true }
+
+// Guards against work that counts as local although its caller's home is
+// another region.
+func TestHomeRegion(t *testing.T) {
+	is := is.New(t)
+	doc := &document.Compiled{
+		Regions: []document.Region{{Name: "north"}, {Name: "south"}},
+		Zones:   []document.Zone{{Name: "a"}, {Name: "c", Region: 1}},
+		Sites:   []document.Site{{Name: "s", Zone: 1}},
+	}
+	client := netip.MustParseAddr("10.0.0.1")
+	is.Equal((&View{Document: doc}).homeRegion(client), -1)
+	is.Equal((&View{Document: doc, Sites: fixedSites{0}}).homeRegion(client), 1)
+	is.Equal((&View{Document: doc, Sites: fixedSites{9}}).homeRegion(client), -1)
+}
