--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"pistachioford.example/core/document"
@@ -19,6 +20,7 @@
 	docs    []*document.Compiled
 	nodes   []*node
 	faults  faults
+	flood   float64 // share of additional background reads
 	service func(*rand.Rand) time.Duration
 	copies  []*workCopy
 	runs    map[string]int // by identity
@@ -26,8 +28,8 @@
 	// sabotage breaks a decision; for tests of the observers.
 	sabotage func(*Engine)
 	broken   string // first violation
-	onReply  func(*workCopy, Reply)
 	counts   map[Count]int
+	saw      map[string]int // how often each kind of action occurred; nil if not wanted
 }
 
 // faults are probabilities.
@@ -219,6 +221,17 @@
 	}
 }
 
+func (w *world) see(a Action) {
+	if w.saw == nil {
+		return
+	}
+	kind := fmt.Sprintf("%T", a)
+	if r, ok := a.(Reply); ok {
+		kind = fmt.Sprint("outcome ", r.Outcome, r.Replayed)
+	}
+	w.saw[kind]++
+}
+
 func (n *node) handle(ev Event) {
 	if n.alive {
 		n.carryOut(n.engine.Handle(n.w.now, ev))
@@ -227,6 +240,7 @@
 
 func (n *node) carryOut(actions []Action) {
 	for _, a := range append([]Action(nil), actions...) {
+		n.w.see(a)
 		switch a := a.(type) {
 		case Send:
 			n.send(a)
@@ -292,6 +306,7 @@
 		return
 	}
 	l.replied = true
+	n.checkOwner(l, r)
 	if l.answer != nil {
 		l.answer(r)
 		return
@@ -304,8 +319,19 @@
 	if r.Outcome == Answered && r.Answer.(testAnswer).identity != c.identity {
 		n.w.violate("answer to %s went to %s", r.Answer.(testAnswer).identity, c.identity)
 	}
-	if n.w.onReply != nil {
-		n.w.onReply(c, r)
+}
+
+// checkOwner finds an owner that tells a copy "not run" although it, or another
+// owner before it, ran the request with that key.
+func (n *node) checkOwner(l *local, r Reply) {
+	key := strings.Split(l.arrived.Key, ".")
+	if r.Outcome != NotRun || r.Reason == ReasonNoService || len(key) != 3 || n.w.runs[l.copy.identity] == 0 {
+		return
+	}
+	for _, h := range n.held {
+		if n.doc.Zones[h.Shard.Zone].Name == key[0] && fmt.Sprint(h.Shard.Index) == key[1] {
+			n.w.violate("owner told %s not run (%s), but it ran", l.copy.identity, r.Reason)
+		}
 	}
 }
 
