--- a/cmd/pistachioford/fleet_test.go
+++ b/cmd/pistachioford/fleet_test.go
@@ -28,6 +28,7 @@
 
 	"pistachioford.example/pistachioford/entry"
 	"pistachioford.example/pistachioford/peer"
+	"pistachioford.example/pistachioford/upstream"
 )
 
 // fleet is a set of processes on loopback.
@@ -190,6 +191,16 @@
 [[zone]]
 name = "b1"
 region = "b"
+[[link]]
+from = "a"
+to = "b"
+budget = "400MB/s"
+delay = "1ms"
+[[link]]
+from = "b"
+to = "a"
+budget = "400MB/s"
+delay = "1ms"
 [[group]]
 name = "g"
 [[service]]
@@ -284,6 +295,7 @@
 	zone, address string
 	mu            sync.Mutex
 	runs          map[string]int
+	leaving       bool
 }
 
 func startCounting(t *testing.T, zone string) *countingUpstream {
@@ -300,7 +312,13 @@
 // ServeHTTP answers with the order or the size of the upload.
 func (u *countingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil || r.URL.Path == "/healthz" {
+	if err != nil {
+		return
+	}
+	if r.URL.Path == upstream.HealthPath {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		fmt.Fprintf(w, `{"utilization":0,"leaving":%t}`, u.leaving)
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/uploads") {
@@ -310,10 +328,30 @@
 	u.mu.Lock()
 	u.runs[string(body)]++
 	u.mu.Unlock()
+	if r.URL.Path == "/orders/crash" {
+		panic(http.ErrAbortHandler) // breaks the connection
+	}
 	time.Sleep(2 * time.Millisecond)
 	_, _ = w.Write(body)
 }
 
+func (u *countingUpstream) setLeaving(leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = leaving
+}
+
+// count returns the number of runs on one upstream.
+func (u *countingUpstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	total := 0
+	for _, n := range u.runs {
+		total += n
+	}
+	return total
+}
+
 // runs adds up the runs of each order on all upstreams.
 func (f *fleet) runs() map[string]int {
 	total := map[string]int{}
--- a/cmd/pistachioford/process_test.go
+++ b/cmd/pistachioford/process_test.go
@@ -37,6 +37,9 @@
 		run  func(*testing.T)
 	}{
 		{"orders", f.testOrders},
+		{"replay", f.testReplay},
+		{"poison", f.testPoison},
+		{"leaving upstream", f.testLeavingUpstream},
 		{"document change", f.testChange},
 		{"rolling restart", f.testRollingRestart},
 		{"platform stops and goes on", f.testPlatformStops},
@@ -190,6 +193,65 @@
 	is.Equal(lookup.Entries[0].Zone, "a1")
 }
 
+// send posts a body and returns the response with its body.
+func send(is *is.I, p *process, path, key, body string) (*http.Response, string) {
+	request, err := http.NewRequest("POST", "http://"+p.callers+path, strings.NewReader(body))
+	is.NoErr(err)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response, string(text)
+}
+
+// testReplay sends one key through all instances, the other region included.
+func (f *fleet) testReplay(t *testing.T) {
+	is := is.New(t)
+	id := uuid.Must(uuid.NewV7()).String()
+	for n, p := range f.instances {
+		response, body := send(is, p, "/orders/new", "a1.0."+id, id)
+		is.Equal(response.Header.Get(upstream.HeaderReason), "")
+		is.Equal(body, id)
+		is.Equal(response.Header.Get("Idempotency-Replayed") == "true", n > 0)
+	}
+	is.Equal(f.runs()[id], 1)
+}
+
+// testPoison resends a request that crashes each upstream that runs it.
+func (f *fleet) testPoison(t *testing.T) {
+	is := is.New(t)
+	region := f.instances[:3]
+	var outcomes []string
+	for n := range 6 {
+		response, _ := send(is, region[n%len(region)], "/orders/crash", "", "poison")
+		outcomes = append(outcomes, response.Header.Get(upstream.HeaderOutcome))
+	}
+	is.Equal(outcomes, []string{"unknown", "unknown", "not-run", "not-run", "not-run", "not-run"})
+	is.Equal(f.runs()["poison"], 2)
+}
+
+// testLeavingUpstream lets one upstream say on its health endpoint that it is
+// leaving; after 3 s no instance may send it work, until it is back.
+func (f *fleet) testLeavingUpstream(t *testing.T) {
+	is := is.New(t)
+	zone := f.instances[:2] // only holders of the zone's shards send it work
+	f.upstreams[0].setLeaving(true)
+	time.Sleep(3 * time.Second)
+	before := f.upstreams[0].count()
+	all := during(zone, false, func() {})
+	is.True(len(all.answered) > 0)
+	is.Equal(f.upstreams[0].count(), before)
+	f.upstreams[0].setLeaving(false)
+	f.await("work for the upstream", func() bool {
+		during(zone, false, func() {})
+		return f.upstreams[0].count() > before
+	})
+}
+
 func (f *fleet) testChange(t *testing.T) {
 	is := is.New(t)
 	all := during(f.instances, false, func() {
--- a/daemon/news.go
+++ b/daemon/news.go
@@ -51,6 +51,7 @@
 		Fingerprint: a.Suspect.Fingerprint,
 		Target:      targetName(view.Document, a.Suspect.Target),
 		At:          a.Suspect.At,
+		Started:     a.Suspect.Started,
 	}
 	telemetry.CountEvent("poison_suspected")
 	addresses := b.d.addressesOf(func(p *control.Peer) bool { return p.Region == b.d.self.Region })
@@ -98,7 +99,9 @@
 func (r receiver) Poison(s peer.PoisonSuspect) {
 	doc := r.d.view.Load().Document
 	target, _ := targetByName(doc, s.Target)
-	r.d.steer.Handle(traffic.PoisonSuspected{Fingerprint: s.Fingerprint, Target: target, At: s.At})
+	r.d.steer.Handle(traffic.PoisonSuspected{
+		Fingerprint: s.Fingerprint, Target: target, At: s.At, Started: s.Started,
+	})
 }
 
 // Leaving notes a leaving upstream that a peer saw.
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -113,8 +113,9 @@
 		hint := <-got.loads
 		is.Equal(hint.Load.Wait, []time.Duration{0, time.Second})
 		done := make(chan struct{})
-		links.Poison([]string{address, "127.0.0.1:1"}, PoisonSuspect{Fingerprint: 5, Target: "t"}, 200*time.Millisecond, func() { close(done) })
-		is.Equal((<-got.poison).Fingerprint, uint64(5))
+		suspect := PoisonSuspect{Fingerprint: 5, Target: "t", At: time.Unix(1, 2), Started: time.Unix(0, 3)}
+		links.Poison([]string{address, "127.0.0.1:1"}, suspect, 200*time.Millisecond, func() { close(done) })
+		is.Equal(<-got.poison, suspect)
 		<-done
 		links.Leaving([]string{address}, LeavingUpstream{Target: "t", Seen: time.UnixMilli(9)})
 		is.Equal(<-got.leaving, LeavingUpstream{Target: "t", Seen: time.UnixMilli(9)})
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,6 +46,8 @@
 	Fingerprint uint64
 	Target      string
 	At          time.Time
+	// Started is when the broken exchange began.
+	Started time.Time
 }
 
 // LeavingUpstream is the first sign that an upstream is leaving.
@@ -117,7 +119,8 @@
 // Poison implements wire.PeerServer.
 func (s *Server) Poison(_ context.Context, in *wire.PoisonSuspect) (*wire.Empty, error) {
 	s.receiver.Poison(PoisonSuspect{
-		Fingerprint: in.Fingerprint, Target: in.Target, At: time.UnixMilli(in.AtUnixMs),
+		Fingerprint: in.Fingerprint, Target: in.Target,
+		At: time.Unix(0, in.AtUnixNs), Started: time.Unix(0, in.StartedUnixNs),
 	})
 	return &wire.Empty{}, nil
 }
