--- a/core/control/engine_test.go
+++ b/core/control/engine_test.go
@@ -91,3 +91,29 @@
 		})
 	}
 }
+
+// Guards against a start from a mate that missed a revision: the zone is cut
+// off, the only instance that had the newest revision dies, and the other one
+// was paused while it became active.
+func TestStartWithoutSource(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(21, 2, 2)
+	fleet(t, s, 2)
+	s.run(2 * time.Second)
+	paused, newest := s.all[0], s.all[1]
+	paused.pause(5 * time.Second)
+	r := s.store.edit("a", "newest")
+	s.until(4*time.Second, func() bool { return newest.active.Revision == r })
+	s.cutZones(time.Minute)
+	s.noPlat[newest.zone] = true
+	newest.kill()
+	started := s.boot(0)
+	s.run(30 * time.Second)
+	is.Equal(paused.active.Revision, r-1) // goes on with what it has
+	is.Equal(started.active, nil)
+	delete(s.noPlat, newest.zone)
+	s.run(5 * time.Second)
+	is.True(s.allActive(r))
+	s.noFaults(t)
+}
--- a/core/control/schedule_test.go
+++ b/core/control/schedule_test.go
@@ -14,15 +14,15 @@
 	"pistachioford.example/core/revision"
 )
 
-// Figures of the generated schedules. The quarantine is the shortest that the
-// leases accept, so that a lapse fits into a schedule.
+// Figures of the generated schedules. The quarantine is short, so that a lapse
+// fits into a schedule, and long enough for a confirmation by the zone.
 const (
 	schedules       = 10_000
 	raceSchedules   = 1_000
 	scheduleTick    = 100 * time.Millisecond
-	scheduleQuar    = 10 * time.Second
-	scheduleFaults  = 25 * time.Second
-	scheduleSettle  = 45 * time.Second
+	scheduleQuar    = 14 * time.Second
+	scheduleFaults  = 20 * time.Second
+	scheduleSettle  = 50 * time.Second
 	schedulePerZone = 2
 )
 
@@ -46,26 +46,31 @@
 	platformSlow
 	platformLoses
 	zoneWithoutPlatform
+	zoneCutOff
 	editOne
 	editTwo
 	faultKinds
 )
 
 var pauses = []time.Duration{
-	500 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond,
-	5 * time.Second, 7900 * time.Millisecond, 9 * time.Second, 20 * time.Second, 30 * time.Second,
+	900 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond, 3 * time.Second,
+	5 * time.Second, 7900 * time.Millisecond, 8500 * time.Millisecond, 15 * time.Second, 25 * time.Second,
 }
 
+// drawSchedule concentrates the faults on one zone and on few moments, since
+// only faults that meet can break a rule.
+
 func drawSchedule(t *rapid.T) []fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 		return fault{
-			At:   time.Duration(rapid.IntRange(0, int(scheduleFaults/time.Millisecond)).Draw(t, "at")) * time.Millisecond,
+			At: time.Duration(rapid.IntRange(0, 9).Draw(t, "step"))*700*time.Millisecond +
+				time.Duration(rapid.IntRange(0, 300).Draw(t, "jitter"))*time.Millisecond,
 			Kind: rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
-			Node: rapid.IntRange(0, 7).Draw(t, "node"),
-			Zone: rapid.IntRange(0, 1).Draw(t, "zone"),
+			Node: rapid.IntRange(0, 3).Draw(t, "node"),
+			Zone: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "zone"),
 			For:  rapid.SampledFrom(pauses).Draw(t, "for"),
 		}
-	}), 2, 10).Draw(t, "faults")
+	}), 3, 12).Draw(t, "faults")
 }
 
 // editor applies changes as racing pistachioctl processes do.
@@ -135,9 +140,14 @@
 }
 
 func (s *sim) inject(f fault, e *editor) {
-	live := s.live()
-	n := live[f.Node%len(live)]
 	zone := s.zones[f.Zone].Name
+	var live []*node
+	for _, n := range s.live() {
+		if n.zone == zone {
+			live = append(live, n)
+		}
+	}
+	n := live[f.Node%len(live)]
 	switch f.Kind {
 	case killAndReplace:
 		n.kill()
@@ -149,14 +159,14 @@
 		n.pause(f.For)
 	case pauseZone:
 		for _, other := range live {
-			if other.zone == zone {
-				other.pause(f.For)
-			}
+			other.pause(f.For)
 		}
 	case cutZones:
-		pair := [2]string{s.zones[0].Name, s.zones[1].Name}
-		s.cut[pair] = true
-		s.after(f.For, func() { delete(s.cut, pair) })
+		s.cutZones(f.For)
+	case zoneCutOff:
+		s.cutZones(f.For)
+		s.noPlat[zone] = true
+		s.after(f.For, func() { delete(s.noPlat, zone) })
 	case platformDown:
 		s.store.down = true
 		s.after(f.For, func() { s.store.down = false })
@@ -177,6 +187,12 @@
 	}
 }
 
+func (s *sim) cutZones(span time.Duration) {
+	pair := [2]string{s.zones[0].Name, s.zones[1].Name}
+	s.cut[pair] = true
+	s.after(span, func() { delete(s.cut, pair) })
+}
+
 // bootLike starts an instance in the zone of another one.
 func (s *sim) bootLike(n *node) {
 	for z := range s.zones {
