traffic, idempotency: judge poison reports and hints without peers' clocks

The age of a hint was taken from the sender's clock, so that a skew of 1 s made all its hints stale. Whether a crash is a second one is now said by the instance that ran the exchange; its reports carry Repeated or Overlapping.

--- a/core/idempotency/poison.go
+++ b/core/idempotency/poison.go
@@ -11,6 +11,8 @@
 	BlockTime = 10 * time.Minute
 	// suspectTime is how long a first crash is remembered.
 	suspectTime = 10 * time.Minute
+	// spreadTime is how long instances may not know of each other's reports.
+	spreadTime = 50 * time.Millisecond
 	// maxSuspects bounds the table to about 0.5 MB.
 	maxSuspects = 4096
 )
@@ -20,19 +22,15 @@
 	Fingerprint uint64
 	Target      document.TargetID
 	At          time.Time
-	// Started is when the exchange began; zero if unknown.
-	Started time.Time
-}
-
-// after tells whether the exchange began after an earlier crash. Exchanges that
-// ran at the same time can break together for another reason, such as the
-// failure of a rack, and count as one crash.
-func (c Crash) after(first Crash) bool {
-	return c.Started.IsZero() || !c.Started.Before(first.At)
+	// Repeated and Overlapping tell whether the exchange began after or before
+	// its instance knew of an earlier crash; neither is set if it knew of none.
+	// Clocks of instances differ, so only that instance can tell.
+	Repeated, Overlapping bool
 }
 
 type suspect struct {
 	first   Crash
+	seen    time.Time // when this instance learned of the first crash
 	blocked time.Time // end of the block; zero before the second crash
 	until   time.Time // when the entry can be dropped
 }
@@ -55,7 +53,7 @@
 		p.add(now, c)
 		return false
 	}
-	if s.first != c && s.blocked.IsZero() && c.after(s.first) {
+	if s.blocked.IsZero() && s.counts(now, c) {
 		s.blocked = now.Add(BlockTime)
 		s.until = s.blocked
 		p.suspects[c.Fingerprint] = s
@@ -63,6 +61,22 @@
 	return !s.blocked.IsZero()
 }
 
+// counts tells whether a crash is a second one. Exchanges that ran at the same
+// time can break together for another reason, such as the failure of a rack, and
+// count as one crash.
+func (s *suspect) counts(now time.Time, c Crash) bool {
+	if s.first.At.Equal(c.At) && s.first.Target == c.Target {
+		return false
+	}
+	return c.Repeated || !c.Overlapping && now.Sub(s.seen) > spreadTime
+}
+
+// Known returns when this instance learned of the first crash of a fingerprint.
+func (p *Poison) Known(now time.Time, fingerprint uint64) (seen time.Time, ok bool) {
+	s, ok := p.suspects[fingerprint]
+	return s.seen, ok && !now.After(s.until)
+}
+
 // Succeeded clears the suspicion of a fingerprint that an upstream has served.
 // A popular read that was in flight on a dying upstream is not poison.
 func (p *Poison) Succeeded(fingerprint uint64) {
@@ -87,7 +101,7 @@
 		p.makeRoom(now)
 		p.order = append(p.order, c.Fingerprint)
 	}
-	p.suspects[c.Fingerprint] = suspect{first: c, until: now.Add(suspectTime)}
+	p.suspects[c.Fingerprint] = suspect{first: c, seen: now, until: now.Add(suspectTime)}
 }
 
 // makeRoom drops expired entries, then the oldest suspect that is not blocked,
--- a/core/traffic/engine.go
+++ b/core/traffic/engine.go
@@ -90,7 +90,7 @@
 	case PeersChanged:
 		e.changePeers(ev.Peers)
 	case PeerLoad:
-		e.peers.takeLoad(ev)
+		e.peers.takeLoad(now, ev)
 	case PoisonSuspected:
 		e.poisonReported(now, ev)
 	case BroadcastDone:
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -163,3 +164,26 @@
 	r.do(AnswerStarted{ID: recalled, Attempt: 1, Answer: testAnswer{size: 2 << 20}})
 	is.Equal(len(of[Reply](r)), 1)
 }
+
+// TestSameSeedSameActions guards against decisions that depend on the order of
+// a map or on anything but events, time and seed.
+func TestSameSeedSameActions(t *testing.T) {
+	run := func() string {
+		w := newWorld(5, firstRevision, secondRevision)
+		w.faults = faults{fail: 0.1, shed: 0.05, breakAfter: 0.05, linkLost: 0.1, cancel: 0.1}
+		fleet(w)
+		w.tickEvery(10*time.Millisecond, w.now.Add(2*time.Second))
+		w.hintsEvery(100*time.Millisecond, w.now.Add(time.Second))
+		for i := range 300 {
+			w.after(time.Duration(w.random.IntN(700))*time.Millisecond, func() { w.randomRequest(i) })
+		}
+		w.runUntil(w.now.Add(4 * time.Second))
+		log := ""
+		for _, c := range w.copies {
+			log += fmt.Sprintln(c.identity, c.runs, c.reply, c.repliedAt)
+		}
+		return log
+	}
+	is := is.New(t)
+	is.Equal(run(), run())
+}
--- a/core/traffic/event.go
+++ b/core/traffic/event.go
@@ -190,8 +190,9 @@
 	Fingerprint uint64
 	Target      document.TargetID
 	At          time.Time
-	// Started is when the broken exchange began.
-	Started time.Time
+	// Repeated and Overlapping tell whether the exchange began after or before
+	// the peer knew of an earlier crash of the same request.
+	Repeated, Overlapping bool
 }
 
 // BroadcastDone reports that the peers acknowledged a broadcast, or that its
--- a/core/traffic/peer.go
+++ b/core/traffic/peer.go
@@ -35,7 +35,8 @@
 
 	free   []uint16
 	wait   []time.Duration
-	hintAt time.Time
+	hintAt time.Time // by the peer's clock, for the order of hints
+	seenAt time.Time // by the own clock, for their age
 	// pausedUntil is set after the peer could not be reached.
 	pausedUntil time.Time
 }
@@ -128,17 +129,17 @@
 	}
 }
 
-// takeLoad takes a hint; an older one than the last is ignored.
-func (t *peerTable) takeLoad(load PeerLoad) {
+// takeLoad takes a hint; an older one is ignored unless the last has expired.
+func (t *peerTable) takeLoad(now time.Time, load PeerLoad) {
 	row, ok := t.byID[load.Peer]
 	if !ok {
 		return
 	}
 	p := &t.rows[row]
-	if !load.At.After(p.hintAt) {
+	if !load.At.After(p.hintAt) && now.Sub(p.seenAt) < hintLifetime {
 		return
 	}
-	p.hintAt = load.At
+	p.hintAt, p.seenAt = load.At, now
 	p.free = append(p.free[:0], load.Free...)
 	p.wait = append(p.wait[:0], load.Wait...)
 }
@@ -146,7 +147,7 @@
 // expectedWait is the hinted wait at the peer, without the round trip; false
 // if nothing is known.
 func (p *peer) expectedWait(now time.Time, g document.GroupID) (time.Duration, bool) {
-	if now.Sub(p.hintAt) > hintLifetime || int(g) >= len(p.free) || int(g) >= len(p.wait) {
+	if now.Sub(p.seenAt) > hintLifetime || int(g) >= len(p.free) || int(g) >= len(p.wait) {
 		return 0, false
 	}
 	if p.free[g] > 0 {
--- a/core/traffic/poison.go
+++ b/core/traffic/poison.go
@@ -20,7 +20,11 @@
 func (e *Engine) suspect(now time.Time, row int32, ev *ExchangeEnded) {
 	r := &e.requests.rows[row]
 	target, _ := e.targets.ID(r.row)
-	crash := PoisonSuspected{Fingerprint: r.fingerprint, Target: target, At: now, Started: r.started}
+	crash := PoisonSuspected{Fingerprint: r.fingerprint, Target: target, At: now}
+	if seen, known := e.poison.Known(now, r.fingerprint); known {
+		crash.Overlapping = r.started.Before(seen)
+		crash.Repeated = !crash.Overlapping
+	}
 	e.poison.Crashed(now, idempotency.Crash(crash))
 	e.broadcast++
 	r.broadcast, r.pending, r.state = e.broadcast, *ev, stateBroadcast
