--- a/daemon/news.go
+++ b/daemon/news.go
@@ -51,7 +51,8 @@
 		Fingerprint: a.Suspect.Fingerprint,
 		Target:      targetName(view.Document, a.Suspect.Target),
 		At:          a.Suspect.At,
-		Started:     a.Suspect.Started,
+		Repeated:    a.Suspect.Repeated,
+		Overlapping: a.Suspect.Overlapping,
 	}
 	telemetry.CountEvent("poison_suspected")
 	addresses := b.d.addressesOf(func(p *control.Peer) bool { return p.Region == b.d.self.Region })
@@ -100,7 +101,8 @@
 	doc := r.d.view.Load().Document
 	target, _ := targetByName(doc, s.Target)
 	r.d.steer.Handle(traffic.PoisonSuspected{
-		Fingerprint: s.Fingerprint, Target: target, At: s.At, Started: s.Started,
+		Fingerprint: s.Fingerprint, Target: target, At: s.At,
+		Repeated: s.Repeated, Overlapping: s.Overlapping,
 	})
 }
 
--- a/peer/links.go
+++ b/peer/links.go
@@ -92,8 +92,8 @@
 // acknowledged it or the timeout has passed. It does not wait.
 func (l *Links) Poison(addresses []string, suspect PoisonSuspect, timeout time.Duration, done func()) {
 	message := &wire.PoisonSuspect{
-		Fingerprint: suspect.Fingerprint, Target: suspect.Target,
-		AtUnixNs: suspect.At.UnixNano(), StartedUnixNs: suspect.Started.UnixNano(),
+		Fingerprint: suspect.Fingerprint, Target: suspect.Target, AtUnixNs: suspect.At.UnixNano(),
+		RepeatedCrash: suspect.Repeated, OverlappingCrash: suspect.Overlapping,
 	}
 	l.goAll(func() {
 		var all conc.WaitGroup
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -113,7 +113,7 @@
 		hint := <-got.loads
 		is.Equal(hint.Load.Wait, []time.Duration{0, time.Second})
 		done := make(chan struct{})
-		suspect := PoisonSuspect{Fingerprint: 5, Target: "t", At: time.Unix(1, 2), Started: time.Unix(0, 3)}
+		suspect := PoisonSuspect{Fingerprint: 5, Target: "t", At: time.Unix(1, 2), Repeated: true, Overlapping: true}
 		links.Poison([]string{address, "127.0.0.1:1"}, suspect, 200*time.Millisecond, func() { close(done) })
 		is.Equal(<-got.poison, suspect)
 		<-done
--- a/peer/server.go
+++ b/peer/server.go
@@ -46,8 +46,8 @@
 	Fingerprint uint64
 	Target      string
 	At          time.Time
-	// Started is when the broken exchange began.
-	Started time.Time
+	// Repeated and Overlapping are those of traffic.PoisonSuspected.
+	Repeated, Overlapping bool
 }
 
 // LeavingUpstream is the first sign that an upstream is leaving.
@@ -119,8 +119,8 @@
 // Poison implements wire.PeerServer.
 func (s *Server) Poison(_ context.Context, in *wire.PoisonSuspect) (*wire.Empty, error) {
 	s.receiver.Poison(PoisonSuspect{
-		Fingerprint: in.Fingerprint, Target: in.Target,
-		At: time.Unix(0, in.AtUnixNs), Started: time.Unix(0, in.StartedUnixNs),
+		Fingerprint: in.Fingerprint, Target: in.Target, At: time.Unix(0, in.AtUnixNs),
+		Repeated: in.RepeatedCrash, Overlapping: in.OverlappingCrash,
 	})
 	return &wire.Empty{}, nil
 }
