--- a/peer/server.go
+++ b/peer/server.go
@@ -46,6 +46,8 @@
 	Fingerprint uint64
 	Target      string
 	At          time.Time
+	// Repeated and Overlapping are those of traffic.PoisonSuspected.
+	Repeated, Overlapping bool
 }
 
 // LeavingUpstream is the first sign that an upstream is leaving.
@@ -117,7 +119,8 @@
 // Poison implements wire.PeerServer.
 func (s *Server) Poison(_ context.Context, in *wire.PoisonSuspect) (*wire.Empty, error) {
 	s.receiver.Poison(PoisonSuspect{
-		Fingerprint: in.Fingerprint, Target: in.Target, At: time.UnixMilli(in.AtUnixMs),
+		Fingerprint: in.Fingerprint, Target: in.Target, At: time.Unix(0, in.AtUnixNs),
+		Repeated: in.RepeatedCrash, Overlapping: in.OverlappingCrash,
 	})
 	return &wire.Empty{}, nil
 }
