--- a/scenario/check.go
+++ b/scenario/check.go
@@ -101,6 +101,7 @@
 	if from == to {
 		return
 	}
+	c.world.stats.cell(call.request, c.world.now).moved++
 	key := moveKey{call.load.service, from, to}
 	m, ok := c.moved[key]
 	if !ok {
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -47,40 +47,35 @@
 	})
 }
 
-// Shift is the line "shift SERVICE cap=N start=N ramp=D" for all regions.
+// Shift is the line "shift SERVICE [from=REGION] [to=REGION] cap=N start=N
+// ramp=D [fraction=N]", for all pairs of regions unless they are named.
 func (s *Script) Shift(args []string) error {
 	if len(args) < 1 || s.settings.Platform == nil {
 		return errors.New("usage: shift SERVICE cap=N start=N ramp=D")
 	}
-	id, ok := s.settings.Platform.service(args[0])
+	p := s.settings.Platform
+	id, ok := p.service(args[0])
 	if !ok {
 		return fmt.Errorf("no service %q", args[0])
 	}
-	each := func(set func(*document.Shift)) {
-		shifts := s.settings.Platform.Document.Shifts
-		for i := range shifts {
-			if shifts[i].Service == id {
-				set(&shifts[i])
-			}
+	from, to, change := "", "", document.Shift{}
+	err := options(args[1:], map[string]func(string) error{
+		"from":     func(v string) error { from = v; return nil },
+		"to":       func(v string) error { to = v; return nil },
+		"cap":      func(v string) (err error) { change.CapPerSecond, err = strconv.ParseFloat(v, 64); return },
+		"start":    func(v string) (err error) { change.StartPerSecond, err = strconv.ParseFloat(v, 64); return },
+		"fraction": func(v string) (err error) { change.Fraction, err = strconv.ParseFloat(v, 64); return },
+		"ramp":     func(v string) (err error) { change.Ramp, err = time.ParseDuration(v); return },
+	})
+	for i := range p.Document.Shifts {
+		old := &p.Document.Shifts[i]
+		fits := func(name string, r document.RegionID) bool { return name == "" || p.Document.Regions[r].Name == name }
+		if old.Service == id && fits(from, old.From) && fits(to, old.To) {
+			change.Service, change.From, change.To = id, old.From, old.To
+			*old = change
 		}
 	}
-	return options(args[1:], map[string]func(string) error{
-		"cap": func(v string) error {
-			n, err := strconv.ParseFloat(v, 64)
-			each(func(t *document.Shift) { t.CapPerSecond = n })
-			return err
-		},
-		"start": func(v string) error {
-			n, err := strconv.ParseFloat(v, 64)
-			each(func(t *document.Shift) { t.StartPerSecond = n })
-			return err
-		},
-		"ramp": func(v string) error {
-			d, err := time.ParseDuration(v)
-			each(func(t *document.Shift) { t.Ramp = d })
-			return err
-		},
-	})
+	return err
 }
 
 // Load is the line "load NAME service=S rate=N [zones=Z] [from=D] [to=D]
--- a/scenario/stats.go
+++ b/scenario/stats.go
@@ -40,6 +40,7 @@
 	offered  int
 	outcomes [outcomes]int // by arrival
 	sends    int
+	moved    int           // first runs outside of the home region
 	answered int           // by the time of the answer
 	busy     time.Duration // of slots
 	useful   time.Duration // of slots, for requests answered in time
@@ -172,6 +173,7 @@
 func (c *cell) add(other *cell) {
 	c.offered += other.offered
 	c.sends += other.sends
+	c.moved += other.moved
 	c.answered += other.answered
 	c.busy += other.busy
 	c.useful += other.useful
@@ -214,6 +216,8 @@
 		return float64(sum.outcomes[unknown]), nil
 	case "sends":
 		return float64(sum.sends), nil
+	case "moved":
+		return float64(sum.moved), nil
 	case "busy":
 		return float64(sum.busy) / slotTime, nil
 	case "useful":
