--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -66,7 +66,7 @@
 	}
 	for _, row := range t.groups[g].rows {
 		r := &t.targets[row]
-		if r.inFlight >= r.owned || !r.usable() {
+		if r.free() == 0 {
 			continue
 		}
 		if !r.coldSince.IsZero() && now.Before(r.nextStart) {
@@ -84,6 +84,18 @@
 	return !r.leaving && !r.draining && !r.ejected && !r.down
 }
 
+// free is the number of owned slots that new work may use. A target that
+// refused connections gets one request at a time until it accepts one.
+func (r *target) free() uint16 {
+	if !r.usable() || r.inFlight >= r.owned || r.probing > 0 && r.inFlight > 0 {
+		return 0
+	}
+	if r.probing > 0 {
+		return 1
+	}
+	return r.owned - r.inFlight
+}
+
 // better compares own measurements first; the report only breaks a tie.
 func (t *Table) better(now time.Time, a, b Row) Row {
 	ra, rb := &t.targets[a], &t.targets[b]
@@ -125,10 +137,7 @@
 func (t *Table) Free(g document.GroupID) int {
 	free := 0
 	for _, row := range t.rowsOf(g) {
-		r := &t.targets[row]
-		if r.usable() && r.inFlight < r.owned {
-			free += int(r.owned - r.inFlight)
-		}
+		free += int(t.targets[row].free())
 	}
 	return free
 }
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -231,7 +231,14 @@
 	total := starts[0] + starts[1] + starts[2]
 	is.True(total < 3*(downRefusals+5+10)) // growing intervals up to a second
 	is.True(total > 3*(downRefusals+5))
-	run(table, start.Add(11*time.Second), 200, healthy)
+	probe := start.Add(10*time.Second + probeMax)
+	table.Tick(probe)
+	is.Equal(table.Free(0), 3) // one request at a time on each
+	row, _ := table.Pick(probe, 0, nil)
+	table.Start(probe, row)
+	is.Equal(table.Free(0), 2)
+	table.End(probe, row, Refused, 0)
+	run(table, start.Add(13*time.Second), 200, healthy)
 	is.Equal(table.Slots(0), 9)
 	is.True(!table.targets[0].coldSince.IsZero())
 }
--- a/core/traffic/retry.go
+++ b/core/traffic/retry.go
@@ -17,7 +17,10 @@
 	immediateFailure = 5 * time.Millisecond
 )
 
-// retry schedules another attempt, or returns why there is none.
+// retry schedules another attempt, or returns why there is none. A refused
+// connection costs its upstream no work, so the next attempt is none of the
+// budget's retries; while all upstreams of a group were down, the budget of the
+// few probes left 1 in 20 of the requests unserved that a peer could take.
 func (e *Engine) retry(now time.Time, row int32, class limit.RetryClass, cause Reason) Reason {
 	r := &e.requests.rows[row]
 	g := &e.groups.rows[r.group]
@@ -30,7 +33,7 @@
 		return ReasonAttempts
 	case g.shed.shedding(now):
 		return ReasonShed
-	case !g.retries.Take(class):
+	case cause != ReasonNotSent && !g.retries.Take(class):
 		return ReasonRetryBudget
 	}
 	e.count(CountRetry, cause)
