--- a/entry/body.go
+++ b/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"time"
@@ -96,14 +97,22 @@
 // fingerprint identifies the content of a request. All instances must compute
 // the same value, since suspects are reported between them.
 func fingerprint(service string, header *fasthttp.RequestHeader, key string, held []byte) uint64 {
-	digest := xxhash.New()
-	for _, part := range [][]byte{[]byte(service), header.Method(), header.RequestURI(), []byte(key), held} {
-		var length [8]byte
-		for i := range length {
-			length[i] = byte(len(part) >> (8 * i))
-		}
-		_, _ = digest.Write(length[:])
+	var digest xxhash.Digest
+	digest.Reset()
+	add(&digest, len(service))
+	_, _ = digest.WriteString(service)
+	add(&digest, len(key))
+	_, _ = digest.WriteString(key)
+	for _, part := range [...][]byte{header.Method(), header.RequestURI(), held} {
+		add(&digest, len(part))
 		_, _ = digest.Write(part)
 	}
 	return digest.Sum64()
 }
+
+// add hashes a length, so that the ends of the parts count.
+func add(digest *xxhash.Digest, length int) {
+	var bytes [8]byte
+	binary.LittleEndian.PutUint64(bytes[:], uint64(length))
+	_, _ = digest.Write(bytes[:])
+}
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -87,9 +87,12 @@
 	}
 }
 
+// deadlineName is in normal form already.
+var deadlineName = []byte(upstream.HeaderDeadline)
+
 func setDeadline(header *fasthttp.RequestHeader, deadline time.Time) {
 	var buffer [20]byte
-	header.SetBytesV(upstream.HeaderDeadline, strconv.AppendInt(buffer[:0], deadline.UnixMilli(), 10))
+	header.SetCanonical(deadlineName, strconv.AppendInt(buffer[:0], deadline.UnixMilli(), 10))
 }
 
 // callerDeadline returns the zero time if the caller stated no valid deadline.
--- a/entry/proxy.go
+++ b/entry/proxy.go
@@ -72,7 +72,7 @@
 	}
 	p.steer.arrive(request, arrived)
 	reply, released := request.run(p.steer)
-	p.answer(ctx, reply)
+	p.answer(ctx, reply, request.spare)
 	p.log(view.Document, &arrived, reply)
 	if forwarded != nil && reply != nil {
 		ctx.Response.Header.Set(headerRuns, strconv.Itoa(int(reply.Runs)))
@@ -94,7 +94,7 @@
 	id, found := match(doc, hostOf(ctx), ctx.Path())
 	if !found {
 		telemetry.Count(traffic.Count{Kind: traffic.CountRefusal, Reason: traffic.ReasonNoService})
-		p.answer(ctx, &traffic.Reply{Outcome: traffic.NotRun, Reason: traffic.ReasonNoService})
+		p.answer(ctx, &traffic.Reply{Outcome: traffic.NotRun, Reason: traffic.ReasonNoService}, nil)
 		ctx.SetConnectionClose()
 		return false
 	}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -25,8 +25,9 @@
 
 func isEnd(err error) bool { return err == io.EOF }
 
-// answer writes the outcome of a request.
-func (p *Proxy) answer(ctx *fasthttp.RequestCtx, reply *traffic.Reply) {
+// answer writes the outcome of a request; spare is the answer that only this
+// request refers to.
+func (p *Proxy) answer(ctx *fasthttp.RequestCtx, reply *traffic.Reply, spare *upstream.Answer) {
 	if reply == nil {
 		ctx.SetStatusCode(statusGone)
 		ctx.SetConnectionClose()
@@ -34,7 +35,7 @@
 	}
 	switch reply.Outcome {
 	case traffic.Answered:
-		passOn(ctx, reply)
+		passOn(ctx, reply, spare)
 	case traffic.NotRun:
 		refuse(ctx, fasthttp.StatusServiceUnavailable, upstream.OutcomeNotRun, reply.Reason)
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(reply.RetryAfter))
@@ -48,7 +49,7 @@
 }
 
 // passOn writes an upstream's answer.
-func passOn(ctx *fasthttp.RequestCtx, reply *traffic.Reply) {
+func passOn(ctx *fasthttp.RequestCtx, reply *traffic.Reply, spare *upstream.Answer) {
 	answer, ok := reply.Answer.(*upstream.Answer)
 	if !ok {
 		refuse(ctx, fasthttp.StatusGatewayTimeout, upstream.OutcomeUnknown, traffic.ReasonBroken)
@@ -68,18 +69,18 @@
 		ctx.Response.Header.SetContentLength(answer.Length)
 	default:
 		ctx.Response.Header.Del(fasthttp.HeaderTransferEncoding)
-		setBody(ctx, answer.Body)
+		setBody(ctx, answer, answer == spare)
 	}
 }
 
-// setBody copies a small body, whose memory is then free, and refers to a large
-// one.
-func setBody(ctx *fasthttp.RequestCtx, body []byte) {
-	if cap(body) <= maxRecycledBytes {
-		ctx.Response.SetBody(body)
+// setBody gives the body of an answer that nobody else refers to away, and
+// refers to another one.
+func setBody(ctx *fasthttp.RequestCtx, answer *upstream.Answer, recycled bool) {
+	if recycled {
+		answer.Body = ctx.Response.SwapBody(answer.Body)
 		return
 	}
-	ctx.Response.SetBodyRaw(body)
+	ctx.Response.SetBodyRaw(answer.Body)
 }
 
 // refuse writes an outcome that is not an upstream's answer.
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,6 +38,7 @@
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
 		SecureErrorLogMessage:        true,
+		LazyRequestTime:              true,
 		Logger:                       quietLogger{},
 		ErrorHandler:                 serverError,
 	}}
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	engine   *traffic.Engine
 	document *document.Compiled
+	pools    []*upstream.Pool // by target of document
 	forward  map[traffic.InstanceID]string
 	requests map[traffic.RequestID]*request
 	lastID   traffic.RequestID
@@ -83,9 +84,13 @@
 // SetDocument puts a document in force.
 func (s *Steer) SetDocument(doc *document.Compiled) {
 	s.targets.Keep(connectionLimits(doc))
+	pools := make([]*upstream.Pool, len(doc.Targets))
+	for i := range doc.Targets {
+		pools[i] = s.targets.Get(doc.Targets[i].Address)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.document = doc
+	s.document, s.pools = doc, pools
 	s.handle(traffic.DocumentChanged{Document: doc})
 }
 
@@ -202,11 +207,19 @@
 	}
 	try := r.nextAttempt()
 	try.number, try.deadline = a.Attempt, a.Deadline
-	try.pool = s.targets.Get(a.Address)
+	try.pool = s.poolOf(a)
 	try.shedStatuses = s.shedStatuses(a.Target)
 	r.start(try)
 }
 
+// poolOf saves a locked look-up where the target is that of the document.
+func (s *Steer) poolOf(a traffic.Send) *upstream.Pool {
+	if int(a.Target) < len(s.pools) && s.document.Targets[a.Target].Address == a.Address {
+		return s.pools[a.Target]
+	}
+	return s.targets.Get(a.Address)
+}
+
 func (s *Steer) forwardTo(a traffic.Forward) {
 	r := s.requests[a.ID]
 	if r == nil {
