operate: check a whole document that stands in one file

Each example only existed as one file per section, so checking a single file reported every name that another section defines. A file may now hold all sections, each after its mark, and errors name the lines of that file. Apply and diff refuse such a file, because they would write it back as one section.

--- a/cmd/pistachioctl/commands.go
+++ b/cmd/pistachioctl/commands.go
@@ -97,7 +97,7 @@
 }
 
 func check(_ context.Context, o *options) (any, error) {
-	files, err := operate.OpenFiles(o.arguments())
+	files, err := operate.OpenDocument(o.arguments())
 	if err != nil {
 		return nil, err
 	}
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"pistachioford.example/core/document"
+	"pistachioford.example/pistachioford/operate"
 	"pistachioford.example/pistachioford/settings"
 )
 
@@ -41,7 +42,7 @@
 
 // read returns the sections of a user's document.
 func read(is *is.I, user string) []document.Section {
-	files, err := filepath.Glob(filepath.Join(user, "*.toml"))
+	files, err := filepath.Glob(filepath.Join(user, "sections", "*.toml"))
 	is.NoErr(err)
 	var sections []document.Section
 	for _, file := range files {
@@ -53,6 +54,30 @@
 	return sections
 }
 
+// Guards against a whole document that differs from its sections.
+func TestWholeDocument(t *testing.T) {
+	for _, user := range []string{"kolebe", "ceiba"} {
+		t.Run(user, func(t *testing.T) {
+			is := is.New(t)
+			whole, err := operate.OpenDocument([]string{filepath.Join(user, "document.toml")})
+			is.NoErr(err)
+			_, err = operate.Check(whole)
+			is.NoErr(err)
+			texts := map[string]string{}
+			for _, f := range whole {
+				_, text, _ := strings.Cut(strings.TrimLeft(f.Text, "\n"), "\n")
+				texts[f.Name] = strings.TrimSpace(text)
+			}
+			sections := read(is, user)
+			is.Equal(len(texts), len(sections))
+			for _, s := range sections {
+				text := strings.Replace(s.Text, `"clients.csv"`, `"sections/clients.csv"`, 1)
+				is.Equal(texts[s.Name], strings.TrimSpace(text))
+			}
+		})
+	}
+}
+
 // checkSettings loads the settings of all instances: one per shard.
 func checkSettings(is *is.I, user string, c *document.Compiled) {
 	files, err := filepath.Glob(filepath.Join(user, "settings", "*.toml"))
--- a/operate/files.go
+++ b/operate/files.go
@@ -17,6 +17,9 @@
 // apply knows which version the edit started from.
 var markPattern = regexp.MustCompile(`^# pistachioctl: section [a-z0-9-]+ version ([0-9]{1,18})\r?\n`)
 
+// sectionMark matches the mark of any section of a file.
+var sectionMark = regexp.MustCompile(`(?m)^# pistachioctl: section [a-z0-9-]+ version [0-9]{1,18}\r?$`)
+
 // mark returns the line for a version of a section.
 func mark(section string, version uint64) string {
 	return fmt.Sprintf("# pistachioctl: section %s version %d\n", section, version)
@@ -31,26 +34,46 @@
 	HasBase bool
 }
 
-// OpenFiles reads sections from files. The name of a file without its suffix
-// is the name of a section that does not say its own.
+// OpenFiles reads files with one section each. The name of a file without its
+// suffix is the name of a section that does not say its own.
 func OpenFiles(names []string) ([]File, error) {
+	files, err := OpenDocument(names)
+	if err != nil {
+		return nil, err
+	}
+	for i := 1; i < len(files); i++ {
+		if files[i].File == files[i-1].File {
+			return nil, refusef("%s holds several sections; give each a file of its own", files[i].File)
+		}
+	}
+	return files, nil
+}
+
+// OpenDocument reads files with one or more sections each.
+func OpenDocument(names []string) ([]File, error) {
 	files := make([]File, 0, len(names))
 	for _, name := range names {
 		text, err := readFile(name)
 		if err != nil {
 			return nil, err
 		}
-		base := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
-		f := File{Section: document.Open(name, base, text)}
-		if m := markPattern.FindStringSubmatch(text); m != nil {
-			f.Base, err = strconv.ParseUint(m[1], 10, 64)
-			f.HasBase = err == nil
+		for _, part := range splitFile(text) {
+			files = append(files, openSection(name, part))
 		}
-		files = append(files, f)
 	}
 	return files, nil
 }
 
+func openSection(name, text string) File {
+	base := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+	f := File{Section: document.Open(name, base, text)}
+	if m := markPattern.FindStringSubmatch(text); m != nil {
+		version, err := strconv.ParseUint(m[1], 10, 64)
+		f.Base, f.HasBase = version, err == nil
+	}
+	return f
+}
+
 // readFile refuses files that are too long before it reads them.
 func readFile(name string) (string, error) {
 	info, err := os.Stat(name)
