--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -170,8 +170,14 @@
 	return nearest[r.load.random.IntN(len(nearest))]
 }
 
+// avoided tells whether callers skip an entry: look-ups do not name it any
+// more, or they found it dead themselves.
 func (w *world) avoided(home document.ZoneID, in *instance) bool {
-	return in.leaving || w.clock.now.Before(w.avoid[home][in.id])
+	away := !in.alive || !in.pausedAt.IsZero()
+	if in.leaving || away && w.now.Sub(in.awaySince) > deadEverywhere {
+		return true
+	}
+	return w.now.Before(w.avoid[home][in.id])
 }
 
 // submit sends a request to an entry; one that does not answer is avoided.
--- a/scenario/instance.go
+++ b/scenario/instance.go
@@ -35,7 +35,9 @@
 	silent   bool // its host is gone: connects get no answer
 	leaving  bool
 	pausedAt time.Time
-	backlog  []traffic.Event
+	// awaySince is the time of the last exit or pause.
+	awaySince time.Time
+	backlog   []traffic.Event
 
 	lastID  traffic.RequestID
 	inbound map[traffic.RequestID]*inbound
@@ -301,6 +303,7 @@
 // exit ends the process at once. With a silent host nobody is told.
 func (in *instance) exit() {
 	in.alive, in.pausedAt, in.backlog = false, time.Time{}, nil
+	in.awaySince = in.world.now
 	for _, id := range in.requests() {
 		request := in.inbound[id]
 		for _, x := range request.exchanges {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -211,7 +211,7 @@
 
 // pause stops an instance; a long pause costs it its shards.
 func (w *world) pause(in *instance) {
-	in.pausedAt = w.now
+	in.pausedAt, in.awaySince = w.now, w.now
 	w.publish(deadInZone, int(in.zone))
 	w.publish(deadEverywhere, -1)
 	w.after(leaseTerm+w.doc.Quarantine, func() {
