--- a/core/route/table.go
+++ b/core/route/table.go
@@ -11,48 +11,47 @@
 // document until the target is gone and its last exchange has ended.
 type Row int32
 
-// target is one row: its identity, the owned slots and what was measured.
+// target is one row: its identity, the owned slots and what was measured. What
+// each choice reads comes first, on one or two cache lines.
 type target struct {
-	name    string
-	address string
-	id      document.TargetID
-	group   document.GroupID
-	// present is false when the document no longer lists the target.
-	present  bool
-	leaving  bool
-	draining bool
-
 	owned    uint16
 	inFlight uint16
+	leaving  bool
+	draining bool
+	ejected  bool
+	// refusals counts refused connections in a row; down is set when they mean
+	// that no process listens, until the next probe.
+	down      bool
+	refusals  uint8
+	probing   time.Duration // the last wait before a probe
+	coldSince time.Time     // zero if warm
+	nextStart time.Time     // earliest next start while cold
 
 	latency  float64 // nanoseconds; 0 if unknown
-	samples  uint32
-	lastSeen time.Time // last sample of the latency
-	lastEnd  time.Time // last exchange that counted
-	failures float64   // moving share of failed exchanges
-	sheds    float64   // moving share of shed exchanges
+	failures float64 // moving share of failed exchanges
+	sheds    float64 // moving share of shed exchanges
+	load     float64
+	loadAt   time.Time
+
+	id    document.TargetID
+	group document.GroupID
+	// present is false when the document no longer lists the target.
+	present bool
+	crashed bool
+	samples uint32
 	// beforeCrash is the share of failures before the first crash that a
 	// suspected request caused; valid while crashed is set.
 	beforeCrash float64
-	crashed     bool
-
-	// refusals counts refused connections in a row; down is set when they mean
-	// that no process listens, until the next probe.
-	refusals uint8
-	down     bool
-	probeAt  time.Time
-	probing  time.Duration // the last wait before a probe
-
-	load   float64
-	loadAt time.Time
+	lastSeen    time.Time // last sample of the latency
+	lastEnd     time.Time // last exchange that counted
+	probeAt     time.Time
 
 	ejectedUntil time.Time
 	ejectedAt    time.Time
 	ejections    uint8
-	ejected      bool
 
-	coldSince time.Time // zero if warm
-	nextStart time.Time // earliest next start while cold
+	name    string
+	address string
 }
 
 // group lists the rows of one group in the zone and what holds for all of them.
