--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 package daemon
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -57,7 +58,10 @@
 	tasks    chan func()
 	departed chan struct{}
 	stop     chan struct{}
-	stopped  atomic.Bool
+	// running ends with Cleanup, and calls of the platform with it.
+	running    context.Context
+	endRunning context.CancelFunc
+	stopped    atomic.Bool
 	// closed is set once no more requests can arrive; only then may the last
 	// request be the last.
 	closed  atomic.Bool
@@ -77,13 +81,16 @@
 
 // New returns a Daemon that uses the given platform.
 func New(s *settings.Settings, p platform.Platform) *Daemon {
+	running, end := context.WithCancel(context.Background())
 	return &Daemon{
-		settings: s,
-		platform: p,
-		events:   make(chan control.Event, eventQueue),
-		tasks:    make(chan func()),
-		departed: make(chan struct{}),
-		stop:     make(chan struct{}),
+		settings:   s,
+		platform:   p,
+		running:    running,
+		endRunning: end,
+		events:     make(chan control.Event, eventQueue),
+		tasks:      make(chan func()),
+		departed:   make(chan struct{}),
+		stop:       make(chan struct{}),
 	}
 }
 
--- a/daemon/leave.go
+++ b/daemon/leave.go
@@ -72,6 +72,7 @@
 func (d *Daemon) Cleanup() {
 	d.stopped.Store(true)
 	close(d.stop)
+	d.endRunning()
 	d.closeServers()
 	d.loops.Wait()
 	if d.links != nil {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,7 +20,7 @@
 // platform delays nothing.
 func (d *Daemon) ask(call func(context.Context) control.PlatformAnswered) {
 	d.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+		ctx, cancel := context.WithTimeout(d.running, platformTimeout)
 		defer cancel()
 		d.post(call(ctx))
 	})
@@ -93,7 +93,7 @@
 // platform is down.
 func (d *Daemon) register() {
 	for pause := registerPause; ; pause = min(2*pause, registerMaxPause) {
-		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+		ctx, cancel := context.WithTimeout(d.running, platformTimeout)
 		err := d.platform.Register(ctx, platform.Instance{
 			ID: d.self.ID, Address: d.peerAt, Operators: d.operatorsAt, Zone: d.self.Zone, Role: platform.RoleEntry,
 		})
@@ -113,7 +113,7 @@
 // unregister marks this instance as leaving; peers learn it without the
 // platform too.
 func (d *Daemon) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(d.running, platformTimeout)
 	defer cancel()
 	if err := d.platform.Leave(ctx, d.self.ID); err != nil {
 		telemetry.CountEvent("unregister_failed")
--- a/entry/proxy_test.go
+++ b/entry/proxy_test.go
@@ -138,9 +138,12 @@
 	near.steer.SetPeers([]traffic.PeerInfo{{ID: "far", Zone: zone, Shards: shardIDs(allShards(doc, "b"))}},
 		map[traffic.InstanceID]string{"far": far.forward.Address()})
 
-	for _, size := range []int{0, 1000, 300 << 10} {
-		sent := bytes.Repeat([]byte("x"), size)
-		response, body := do(t, "POST", near.url("/reads/a%20b?q=1"), bytes.NewReader(sent), headerFrom, "forged", "X-Own", "kept")
+	for n, size := range []int{0, 1000, 300 << 10, 1000, 300 << 10} {
+		var sent io.Reader = bytes.NewReader(bytes.Repeat([]byte("x"), size))
+		if n >= 3 {
+			sent = struct{ io.Reader }{sent} // sent in chunks
+		}
+		response, body := do(t, "POST", near.url("/reads/a%20b?q=1"), sent, headerFrom, "forged", "X-Own", "kept")
 		is.Equal(response.Header.Get(upstream.HeaderReason), "")
 		is.Equal(response.StatusCode, 200)
 		is.Equal(len(body), size)
