--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,7 +148,7 @@
 		*port.actual = opened.Addr().String()
 		*port.listener = entry.Limit(opened, limit)
 	}
-	p.peer = d.certificates.Listen(p.peer)
+	p.peer = d.certificates.Listen(peer.Count(p.peer))
 	p.forward = d.certificates.Listen(p.forward)
 	return p, nil
 }
--- a/daemon/news.go
+++ b/daemon/news.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
-	"math/rand/v2"
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/traffic"
@@ -16,13 +19,13 @@
 const (
 	// hintPeriod is how often free slots are told to peers.
 	hintPeriod = 200 * time.Millisecond
-	// hintPeers bounds the peers that get one hint, so that the control traffic
-	// of an instance does not grow with the fleet.
+	// hintPeers bounds the peers that get hints, so that the control traffic of
+	// an instance does not grow with the fleet.
 	hintPeers = 12
 )
 
-// sendHints tells the free slots to all peers of a small fleet, or to a random
-// part of a large one.
+// sendHints tells the free slots to all peers of a small fleet, or to a part of
+// a large one.
 func (d *Daemon) sendHints() {
 	view := d.view.Load()
 	d.keepLinks(view)
@@ -31,14 +34,47 @@
 		return
 	}
 	hint := peer.LoadHint{Revision: revision, Load: load}
-	for n, i := range rand.Perm(len(view.Peers)) {
-		if n == hintPeers {
-			return
+	for _, address := range d.hinted(view.Peers) {
+		d.links.Load(address, hint)
+	}
+}
+
+// hinted chooses the peers that get hints: a third each from the own zone, the
+// own region and elsewhere, where there are as many. The choice is by hash, so
+// that it differs between instances and streams stay open.
+func (d *Daemon) hinted(peers []control.Peer) []string {
+	var tiers [3][]*control.Peer
+	for i := range peers {
+		if p := &peers[i]; !p.Unreachable {
+			tier := d.tier(p)
+			tiers[tier] = append(tiers[tier], p)
 		}
-		if !view.Peers[i].Unreachable {
-			d.links.Load(view.Peers[i].Address, hint)
+	}
+	var chosen []string
+	for tier, members := range tiers {
+		slices.SortFunc(members, func(a, b *control.Peer) int { return cmp.Compare(d.affinity(a), d.affinity(b)) })
+		// What nearer tiers leave unused goes to the farther ones.
+		quota := hintPeers*(tier+1)/len(tiers) - len(chosen)
+		for _, p := range members[:min(quota, len(members))] {
+			chosen = append(chosen, p.Address)
 		}
 	}
+	return chosen
+}
+
+func (d *Daemon) tier(p *control.Peer) int {
+	switch {
+	case p.Zone == d.self.Zone:
+		return 0
+	case p.Region == d.self.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (d *Daemon) affinity(p *control.Peer) uint64 {
+	return xxhash.Sum64String(d.self.ID + "\x00" + string(p.ID))
 }
 
 // broadcaster implements entry.Broadcaster.
--- a/peer/certificates.go
+++ b/peer/certificates.go
@@ -138,8 +138,16 @@
 func (c *Certificates) DialContext(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil || c == nil {
-		return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return c.secure(ctx, conn)
+}
+
+// secure does the handshake of a client; it closes conn if that fails.
+func (c *Certificates) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if c == nil {
+		return conn, nil
 	}
 	secure := tls.Client(conn, c.current())
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
--- a/peer/links.go
+++ b/peer/links.go
@@ -50,6 +50,7 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[string]*grpc.ClientConn
+	hints  map[string]*hintStream
 }
 
 // NewLinks returns Links without connections; nil certificates mean plain
@@ -59,6 +60,7 @@
 		certificates: certificates,
 		slots:        make(chan struct{}, maxSends),
 		conns:        map[string]*grpc.ClientConn{},
+		hints:        map[string]*hintStream{},
 	}
 }
 
@@ -75,19 +77,6 @@
 	})
 }
 
-// Load sends a hint; it may be lost.
-func (l *Links) Load(address string, hint LoadHint) {
-	message := &wire.LoadHint{From: string(hint.Load.Peer), Revision: hint.Revision}
-	for i := range hint.Load.Free {
-		message.Free = append(message.Free, uint32(hint.Load.Free[i]))
-		message.WaitMs = append(message.WaitMs, uint32(hint.Load.Wait[i].Milliseconds()))
-	}
-	l.async(address, sendTimeout, func(ctx context.Context, c wire.PeerClient) error {
-		_, err := c.Load(ctx, message)
-		return err
-	})
-}
-
 // Poison reports a suspect to all addresses and calls done after all have
 // acknowledged it or the timeout has passed. It does not wait.
 func (l *Links) Poison(addresses []string, suspect PoisonSuspect, timeout time.Duration, done func()) {
@@ -137,6 +126,9 @@
 func (l *Links) Close() {
 	l.mu.Lock()
 	l.closed = true
+	for _, h := range l.hints {
+		h.stop()
+	}
 	for _, conn := range l.conns {
 		_ = conn.Close()
 	}
@@ -199,6 +191,12 @@
 func (l *Links) Keep(addresses map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for address, h := range l.hints {
+		if !addresses[address] {
+			h.stop()
+			delete(l.hints, address)
+		}
+	}
 	for address, conn := range l.conns {
 		if !addresses[address] {
 			_ = conn.Close()
@@ -211,7 +209,12 @@
 // are looked at for each connection; gRPC sees a plain one.
 func (l *Links) open(address string) (*grpc.ClientConn, error) {
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return l.certificates.DialContext(ctx, address)
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return l.certificates.secure(ctx, countingConn{conn})
 	}
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -98,9 +100,26 @@
 const maxGroups = 4096
 
 // Load implements wire.PeerServer.
-func (s *Server) Load(_ context.Context, in *wire.LoadHint) (*wire.Empty, error) {
+func (s *Server) Load(stream wire.Peer_LoadServer) error {
+	for {
+		in, err := stream.Recv()
+		if err == io.EOF {
+			return stream.SendAndClose(&wire.Empty{})
+		}
+		if err != nil {
+			return err
+		}
+		hint, err := decodeHint(in)
+		if err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		s.receiver.Load(hint)
+	}
+}
+
+func decodeHint(in *wire.LoadHint) (LoadHint, error) {
 	if len(in.Free) != len(in.WaitMs) || len(in.Free) > maxGroups {
-		return nil, status.Error(codes.InvalidArgument, "free and wait differ in length, or are too long")
+		return LoadHint{}, errors.New("free and wait differ in length, or are too long")
 	}
 	hint := LoadHint{Revision: in.Revision, Load: traffic.PeerLoad{
 		Peer: traffic.InstanceID(in.From),
@@ -112,8 +131,7 @@
 		hint.Load.Free[i] = uint16(min(in.Free[i], 1<<16-1))
 		hint.Load.Wait[i] = time.Duration(in.WaitMs[i]) * time.Millisecond
 	}
-	s.receiver.Load(hint)
-	return &wire.Empty{}, nil
+	return hint, nil
 }
 
 // Poison implements wire.PeerServer.
