--- a/daemon/news.go
+++ b/daemon/news.go
@@ -99,7 +99,11 @@
 
 // Leaving tells all instances of the zone.
 func (b broadcaster) Leaving(a traffic.BroadcastLeaving) {
-	name := targetName(b.d.view.Load().Document, a.Leaving.Target)
+	doc := b.d.view.Load().Document
+	name := targetName(doc, a.Leaving.Target)
+	if name != "" {
+		b.d.signs.note(doc.Targets[a.Leaving.Target].Address, signTold, true, a.Leaving.Seen)
+	}
 	telemetry.Event("upstream_leaving", telemetry.F("instance", b.d.self.ID), telemetry.F("target", name))
 	addresses := b.d.addressesOf(func(p *control.Peer) bool { return p.Zone == b.d.self.Zone })
 	b.d.links.Leaving(addresses, peer.LeavingUpstream{Target: name, Seen: a.Leaving.Seen})
@@ -146,6 +150,7 @@
 func (r receiver) Leaving(l peer.LeavingUpstream) {
 	doc := r.d.view.Load().Document
 	if target, known := targetByName(doc, l.Target); known {
+		r.d.signs.note(doc.Targets[target].Address, signTold, true, time.Now())
 		r.d.steer.HandleFor(doc, traffic.TargetLeaving{Target: target, Seen: l.Seen})
 	}
 }
--- a/daemon/news_test.go
+++ b/daemon/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,17 +55,22 @@
 	steps := []struct {
 		source      signSource
 		leaving     bool
+		at          time.Duration
 		began, back bool
 	}{
-		{signHealth, false, false, false},
-		{signHealth, true, true, false},
-		{signListed, true, false, false},
-		{signHealth, false, false, false},
-		{signListed, false, false, true},
-		{signListed, false, false, false},
+		{source: signHealth},
+		{source: signHealth, leaving: true, began: true},
+		{source: signListed, leaving: true},
+		{source: signHealth},
+		{source: signListed, back: true},
+		{source: signListed},
+		{source: signTold, leaving: true, at: time.Hour, began: true},
+		{source: signHealth, at: time.Hour + time.Second}, // may be an old report
+		{source: signListed, at: time.Hour + time.Minute},
+		{source: signHealth, at: time.Hour + toldGrace, back: true},
 	}
 	for _, step := range steps {
-		began, back := s.note("x", step.source, step.leaving)
+		began, back := s.note("x", step.source, step.leaving, time.Unix(0, 0).Add(step.at))
 		is.Equal(began, step.began)
 		is.Equal(back, step.back)
 	}
