--- a/daemon/leave.go
+++ b/daemon/leave.go
@@ -36,7 +36,7 @@
 // requests in flight, partly sent uploads included, gives the shards up and
 // returns. ctx ends the wait for requests early.
 func (d *Daemon) Leave(ctx context.Context) error {
-	telemetry.Event("leaving", telemetry.F("instance", d.self.ID), telemetry.F("in_flight", d.inFlight()))
+	telemetry.Event("draining", telemetry.F("instance", d.self.ID), telemetry.F("in_flight", d.inFlight()))
 	d.announce()
 	sleep(ctx, lingerTime)
 	err := d.shutdown(ctx)
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -81,7 +83,9 @@
 		answer.TTLSeconds = int(doc.LookupTTL / time.Second)
 	}
 	candidates := l.candidates(view, zone)
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return int(a.rank - b.rank) })
+	// Callers that all ask one instance are spread over those that are as near.
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	for i := range candidates {
 		answer.Entries = append(answer.Entries, candidates[i].entry)
 		if answer.KeyPrefix == "" && doc != nil && len(candidates[i].shards) > 0 {
