--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -189,3 +189,24 @@
 		})
 	}
 }
+
+// Guards against a handover with a request in flight that started between the
+// last report of none and the end of the use.
+func TestHandoverWaitsForRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(32, 1, 2)
+	fleet(t, s, 2)
+	leaver := s.all[0]
+	leaver.leave()
+	s.until(time.Second, func() bool { return len(leaver.held) == 0 })
+	leaver.requests = 1
+	s.run(5 * time.Second)
+	is.True(!leaver.left)
+	is.True(!s.allHeld())
+	leaver.requests = 0
+	s.run(time.Second)
+	is.True(leaver.left)
+	is.True(s.allHeld())
+	s.noFaults(t)
+}
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -64,6 +64,8 @@
 	lastRun   time.Time
 	peers     []Peer
 	logs      []string
+	// requests is the number of requests in flight.
+	requests int
 }
 
 type event struct {
@@ -175,7 +177,7 @@
 		return
 	}
 	n.do(func() []Action {
-		n.act(n.engine.Handle(n.s.now, InFlight{}))
+		n.act(n.engine.Handle(n.s.now, InFlight{Requests: n.requests}))
 		return n.engine.Tick(n.s.now)
 	})
 	n.s.after(n.s.tick, n.ticks)
--- a/core/lease/hand.go
+++ b/core/lease/hand.go
@@ -17,11 +17,9 @@
 // flight. A handover needs no platform, so shards survive the replacement of
 // all instances during an outage.
 func (k *Keeper) tickDropping(s *slot, now time.Time) {
-	drained := k.view.Drained.After(s.changed) || now.Sub(s.changed) >= k.view.Quarantine
-	if k.view.Leaving {
-		drained = k.view.Drained.After(s.takenAt)
-	}
-	if drained {
+	// Requests may have started between the last report and the end of the use,
+	// so only a later report counts.
+	if k.view.Drained.After(s.changed) || now.Sub(s.changed) >= k.view.Quarantine {
 		k.passOn(s, now)
 	}
 }
