Do not count as alone before the instance list was read

An instance whose seeds are all stale concluded in an outage that it had no mates, and started from the platform beside them when it was back.

--- a/core/control/engine_test.go
+++ b/core/control/engine_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// Guards against an instance that knows its mates only from the instance list
+// and counts as alone before they answer.
+func TestStartByInstanceList(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(22, 1, 2)
+	fleet(t, s, 2)
+	s.seeds = []string{}
+	s.noPlat["z0"] = true
+	r := s.store.edit("a", "unknown to the zone")
+	s.boot(0)
+	s.run(5 * time.Second)
+	is.Equal(s.all[2].active, nil) // nobody is known
+	delete(s.noPlat, "z0")
+	s.until(5*time.Second, func() bool { return s.all[2].active != nil })
+	is.True(s.all[2].engine.join.mateAnswered)
+	s.run(3 * time.Second)
+	is.True(s.allActive(r))
+	s.noFaults(t)
+}
+
 // Guards against a start from a mate that missed a revision: the zone is cut
 // off, the only instance that had the newest revision dies, and the other one
 // was paused while it became active.
--- a/core/control/join.go
+++ b/core/control/join.go
@@ -22,6 +22,9 @@
 	// others before it counts as alone in its zone.
 	aloneTime    = 2 * time.Second
 	listInterval = 10 * time.Second
+	listRetry    = 1 * time.Second
+	// pingGrace is how long the instances that the list named have to answer.
+	pingGrace = 500 * time.Millisecond
 	// mateGrace is how long an instance that knows others, but none of its own
 	// zone, waits for one to appear.
 	mateGrace = 1 * time.Second
@@ -40,7 +43,10 @@
 	// mateAnswered and otherAnswered tell whose pages were complete.
 	mateAnswered  bool
 	otherAnswered bool
-	listAnswered  bool
+	// listAnswered is when the instance list was read, listPings how many
+	// unknown instances it named.
+	listAnswered time.Time
+	listPings    int
 
 	seeded   time.Time
 	paged    time.Time
@@ -71,7 +77,11 @@
 // list reads the platform's instance list.
 func (e *Engine) list(now time.Time) {
 	j := &e.join
-	if !j.listedAt.IsZero() && now.Sub(j.listedAt) < listInterval {
+	interval := listInterval
+	if j.listAnswered.IsZero() {
+		interval = listRetry
+	}
+	if !j.listedAt.IsZero() && now.Sub(j.listedAt) < interval {
 		return
 	}
 	j.listedAt = now
@@ -86,7 +96,7 @@
 	if a.Err != nil {
 		return
 	}
-	e.join.listAnswered = true
+	e.join.listAnswered = now
 	pings := 0
 	for i := range a.Instances[:min(len(a.Instances), maxListed)] {
 		l := &a.Instances[i]
@@ -102,6 +112,7 @@
 		pings++
 		e.send(l.ID, l.Address, &Ping{})
 	}
+	e.join.listPings = pings
 }
 
 // pingSeeds pings addresses of the settings until an instance is known.
@@ -159,8 +170,16 @@
 	if len(e.members.Mates()) > 0 {
 		return false
 	}
+	listed := !j.listAnswered.IsZero()
+	answered := listed && (j.listPings == 0 || now.Sub(j.listAnswered) >= pingGrace)
+	// A starting instance without the list may have mates that it cannot find;
+	// one that runs adopts revisions from other zones during an outage.
+	starting := e.store.Revision() == 0
+	if !answered && (starting || !e.calls.unreachable(now, 0)) {
+		return false
+	}
 	alone := now.Sub(j.since)
-	nobody := len(e.config.Seeds) == 0 && j.listAnswered && e.members.LiveCount() == 1
+	nobody := len(e.config.Seeds) == 0 && listed && j.listPings == 0 && e.members.LiveCount() == 1
 	return nobody || j.otherAnswered && alone >= mateGrace || alone >= aloneTime
 }
 
