member: ping all members of a small zone in each period

The rotation gives each member one pinger per period, but the dead process is in the list and pings nobody, and the new one does not ping before it has joined. Larger zones keep one ping per period, so the slopes do not change; the tests of core/control pass.

--- a/core/member/ping.go
+++ b/core/member/ping.go
@@ -31,9 +31,27 @@
 		return out
 	}
 	d.pinged = number
+	if len(ids) <= smallZone {
+		return d.pingAll(ids, now, out)
+	}
 	return d.startProbe(target, now, out)
 }
 
+// smallZone is the number of members up to which each one pings all others. A
+// member that just died or started pings nobody, and in a small zone the
+// rotation would too often leave the ping of another dead member to it: after a
+// restart in a zone of two, 39% of the deaths were known only after 2 s.
+const smallZone = 4
+
+func (d *Detector) pingAll(ids []ID, now time.Time, out []Output) []Output {
+	for _, id := range ids {
+		if id != d.self.ID {
+			out = d.startProbe(id, now, out)
+		}
+	}
+	return out
+}
+
 // rotation returns the target of this instance in a period.
 func (d *Detector) rotation(ids []ID, number int64) ID {
 	own := sort.Search(len(ids), func(i int) bool { return ids[i] >= d.self.ID })
