--- a/scenario/fleet/editor.go
+++ b/scenario/fleet/editor.go
@@ -66,6 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	operator := operate.New(r)
+	lost := false // a commit may have taken effect
 	for {
 		changed, err := operator.Apply(ctx, request)
 		var unknown *operate.UnknownError
@@ -76,7 +77,10 @@
 			e.revision = changed.Revision
 			e.end(w, accepted, fmt.Sprintf("is revision %d", e.revision))
 			return
-		case !errors.As(err, &unknown) || w.settings.fault == faultOutcome:
+		case errors.As(err, &unknown) && w.settings.fault != faultOutcome:
+			lost = true
+		case lost && operate.ExitCode(err) == operate.ExitPlatform:
+		default:
 			e.end(w, refused, "refused, "+refusal(err))
 			return
 		}
--- a/scenario/fleet/judge.go
+++ b/scenario/fleet/judge.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// scanShards looks for shards with two users.
-func (j *judge) scanShards() {
+// scanShards looks for shards with two users, and returns the users.
+func (j *judge) scanShards() map[document.ShardID]*instance {
 	users := map[document.ShardID]*instance{}
 	for _, in := range j.w.instances {
 		for _, h := range in.held {
@@ -158,6 +158,7 @@
 			users[h.Shard] = in
 		}
 	}
+	return users
 }
 
 // end looks for accepted changes that the store lost.
--- a/scenario/fleet/world.go
+++ b/scenario/fleet/world.go
@@ -53,6 +53,8 @@
 	texts    map[*document.Compiled]string
 
 	spans   []*span
+	open    []*span // those whose effect is missing
+	users   map[document.ShardID]*instance
 	unheld  map[document.ShardID]bool
 	samples []sample
 }
