--- a/scenario/fleet/measure.go
+++ b/scenario/fleet/measure.go
@@ -9,13 +9,6 @@
 	"pistachioford.example/core/document"
 )
 
-// Result is what a run leaves.
-type Result struct {
-	Log        string
-	Violations map[check]int
-	w          *world
-}
-
 // span is the time from an event to its effect; to is zero while that is
 // missing.
 type span struct {
@@ -103,16 +96,16 @@
 // metric returns a figure for the events or the samples of a window: the
 // longest span, which is infinite while the effect is missing, the lowest
 // sample, or a count of edits.
-func (r *Result) metric(name string, from, to time.Duration) (float64, error) {
+func (w *world) metric(name string, from, to time.Duration) (float64, error) {
 	inside := func(d time.Duration) bool { return d >= from && d < to }
 	switch name {
 	case "active", "dead-zone", "dead-everywhere", "unheld":
-		return r.longest(name, inside)
+		return w.longest(name, inside)
 	case "serving", "refusing", "revision":
-		return r.lowest(name, inside)
+		return w.lowest(name, inside)
 	case "accepted", "refused":
 		count := 0.0
-		for _, e := range r.w.edits {
+		for _, e := range w.edits {
 			if e.outcome == outcome(name) && inside(e.ended) {
 				count++
 			}
@@ -122,9 +115,9 @@
 	return 0, fmt.Errorf("no metric %q", name)
 }
 
-func (r *Result) longest(name string, inside func(time.Duration) bool) (float64, error) {
+func (w *world) longest(name string, inside func(time.Duration) bool) (float64, error) {
 	result, found := 0.0, name == "unheld"
-	for _, s := range r.w.spans {
+	for _, s := range w.spans {
 		if s.kind != name || !inside(s.from.Sub(epoch)) {
 			continue
 		}
@@ -140,9 +133,9 @@
 	return result, nil
 }
 
-func (r *Result) lowest(name string, inside func(time.Duration) bool) (float64, error) {
+func (w *world) lowest(name string, inside func(time.Duration) bool) (float64, error) {
 	result, found := math.Inf(1), false
-	for _, s := range r.w.samples {
+	for _, s := range w.samples {
 		if inside(s.at) {
 			found = true
 			result = min(result, map[string]float64{
--- a/scenario/fleet/script.go
+++ b/scenario/fleet/script.go
@@ -13,7 +13,7 @@
 // Script is one scenario while its lines are read.
 type Script struct {
 	events  []*event
-	results map[string]*Result
+	results map[string]*world
 	// sections reads the document of a user.
 	sections func(user string) ([]document.Section, error)
 	// seed replaces the seeds of the script unless it is 0.
@@ -74,10 +74,10 @@
 		return "", err
 	}
 	s.results[args[0]] = result
-	if len(result.Violations) > 0 && c.fault == "" {
-		return result.Log, fmt.Errorf("invariants violated: %v", result.Violations)
+	if len(result.judge.violations) > 0 && c.fault == "" {
+		err = fmt.Errorf("invariants violated: %v", result.judge.violations)
 	}
-	return result.Log, nil
+	return result.log.String(), err
 }
 
 // Expect is the line "expect RUN|all METRIC FROM..TO OP VALUE"; it returns both
@@ -129,7 +129,7 @@
 	if len(args) != 2 || s.results[args[0]] == nil {
 		return "", errors.New("usage: violated RUN CHECK")
 	}
-	if s.results[args[0]].Violations[check(args[1])] == 0 {
+	if s.results[args[0]].judge.violations[check(args[1])] == 0 {
 		return "", fmt.Errorf("%s was not violated", args[1])
 	}
 	return "", nil
--- a/scenario/fleet/script_test.go
+++ b/scenario/fleet/script_test.go
@@ -63,7 +63,7 @@
 		RequireExplicitExec: true,
 		Condition:           func(string) (bool, error) { return *seed != 0, nil }, // [seeded]
 		Setup: func(env *testscript.Env) error {
-			env.Values[scriptKey{}] = &Script{results: map[string]*Result{}, sections: sections, seed: *seed}
+			env.Values[scriptKey{}] = &Script{results: map[string]*world{}, sections: sections, seed: *seed}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
--- a/scenario/fleet/world.go
+++ b/scenario/fleet/world.go
@@ -59,8 +59,8 @@
 	samples []sample
 }
 
-// run executes one run; the same settings give the same result.
-func run(s settings) (*Result, error) {
+// run executes one run and returns its end; the same settings give the same.
+func run(s settings) (*world, error) {
 	w, err := newWorld(s)
 	if err != nil {
 		return nil, err
@@ -77,12 +77,12 @@
 		w.observe()
 		return true
 	})
-	w.run(epoch.Add(s.duration))
+	w.clock.run(epoch.Add(s.duration))
 	for _, stop := range w.editors {
 		stop()
 	}
 	w.judge.end()
-	return &Result{Log: w.log.String(), Violations: w.judge.violations, w: w}, err
+	return w, err
 }
 
 func newWorld(s settings) (*world, error) {
