--- a/core/control/join.go
+++ b/core/control/join.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"pistachioford.example/core/member"
@@ -14,10 +15,16 @@
 	pageSize = 64
 	// pageInterval bounds the pages that repair asks for.
 	pageInterval = 500 * time.Millisecond
+	// differTime is how long two views differ before a page repairs that;
+	// earlier the news are usually still on their way.
+	differTime = 1500 * time.Millisecond
 	// aloneTime is how long an instance that hears from nobody looks for
 	// others before it counts as alone in its zone.
 	aloneTime    = 2 * time.Second
 	listInterval = 10 * time.Second
+	listRetry    = 1 * time.Second
+	// pingGrace is how long the instances that the list named have to answer.
+	pingGrace = 500 * time.Millisecond
 	// mateGrace is how long an instance that knows others, but none of its own
 	// zone, waits for one to appear.
 	mateGrace = 1 * time.Second
@@ -36,12 +43,18 @@
 	// mateAnswered and otherAnswered tell whose pages were complete.
 	mateAnswered  bool
 	otherAnswered bool
-	listAnswered  bool
+	// listAnswered is when the instance list was read, listPings how many
+	// unknown instances it named.
+	listAnswered time.Time
+	listPings    int
 
 	seeded   time.Time
 	paged    time.Time
 	listedAt time.Time
 
+	// differs tells since when the view of a zone differs from that of others.
+	differs map[string]time.Time
+
 	relays   []relay
 	sequence uint64
 }
@@ -64,7 +77,11 @@
 // list reads the platform's instance list.
 func (e *Engine) list(now time.Time) {
 	j := &e.join
-	if !j.listedAt.IsZero() && now.Sub(j.listedAt) < listInterval {
+	interval := listInterval
+	if j.listAnswered.IsZero() {
+		interval = listRetry
+	}
+	if !j.listedAt.IsZero() && now.Sub(j.listedAt) < interval {
 		return
 	}
 	j.listedAt = now
@@ -79,7 +96,7 @@
 	if a.Err != nil {
 		return
 	}
-	e.join.listAnswered = true
+	e.join.listAnswered = now
 	pings := 0
 	for i := range a.Instances[:min(len(a.Instances), maxListed)] {
 		l := &a.Instances[i]
@@ -95,6 +112,7 @@
 		pings++
 		e.send(l.ID, l.Address, &Ping{})
 	}
+	e.join.listPings = pings
 }
 
 // pingSeeds pings addresses of the settings until an instance is known.
@@ -152,8 +170,16 @@
 	if len(e.members.Mates()) > 0 {
 		return false
 	}
+	listed := !j.listAnswered.IsZero()
+	answered := listed && (j.listPings == 0 || now.Sub(j.listAnswered) >= pingGrace)
+	// A starting instance without the list may have mates that it cannot find;
+	// one that runs adopts revisions from other zones during an outage.
+	starting := e.store.Revision() == 0
+	if !answered && (starting || !e.calls.unreachable(now, 0)) {
+		return false
+	}
 	alone := now.Sub(j.since)
-	nobody := len(e.config.Seeds) == 0 && j.listAnswered && e.members.LiveCount() == 1
+	nobody := len(e.config.Seeds) == 0 && listed && j.listPings == 0 && e.members.LiveCount() == 1
 	return nobody || j.otherAnswered && alone >= mateGrace || alone >= aloneTime
 }
 
@@ -179,10 +205,29 @@
 
 // compareZone asks a mate for its records of the zone when its view differs.
 func (e *Engine) compareZone(now time.Time, h *Header) {
-	if h.Sender.Zone != e.config.Zone || h.ZoneHash == e.members.ZoneHash() {
+	if h.Sender.Zone != e.config.Zone {
 		return
 	}
-	e.fetchZone(now, &h.Sender, h.Sender.Zone)
+	if e.stillDiffers(now, h.Sender.Zone, h.ZoneHash != e.members.ZoneHash()) {
+		e.fetchZone(now, &h.Sender, h.Sender.Zone)
+	}
+}
+
+// stillDiffers notes whether the view of a zone differs from that of a peer, and
+// tells whether it has done so for differTime.
+func (e *Engine) stillDiffers(now time.Time, zone string, differs bool) bool {
+	if !differs {
+		delete(e.join.differs, zone)
+		return false
+	}
+	since, noted := e.join.differs[zone]
+	if !noted && len(e.join.differs) < maxListed {
+		if e.join.differs == nil {
+			e.join.differs = map[string]time.Time{}
+		}
+		e.join.differs[zone] = now
+	}
+	return noted && now.Sub(since) >= differTime
 }
 
 func (e *Engine) fetchZone(now time.Time, from *member.Record, zone string) {
@@ -199,7 +244,12 @@
 	if !m.Answer {
 		e.reply(from, &Digest{Zones: e.members.Digests(), Answer: true})
 	}
-	if differing := e.members.Differing(m.Zones[:min(len(m.Zones), maxListed)]); len(differing) > 0 {
-		e.fetchZone(now, from, differing[e.random.IntN(len(differing))])
+	theirs := m.Zones[:min(len(m.Zones), maxListed)]
+	differing := e.members.Differing(theirs)
+	for i := range theirs {
+		zone := theirs[i].Zone
+		if e.stillDiffers(now, zone, slices.Contains(differing, zone)) {
+			e.fetchZone(now, from, zone)
+		}
 	}
 }
