--- a/daemon/control.go
+++ b/daemon/control.go
@@ -111,9 +111,14 @@
 	})
 	d.steer.SetDocument(doc)
 	d.poller.SetTargets(d.polled(doc))
-	d.steerPeers(d.view.Load())
+	view := d.view.Load()
+	d.steerPeers(view)
 	telemetry.Event("document_active",
 		telemetry.F("instance", d.self.ID), telemetry.F("revision", doc.Revision))
+	if _, known := view.Zone(d.self.Zone); !known {
+		telemetry.Event("zone_not_in_document",
+			telemetry.F("instance", d.self.ID), telemetry.F("zone", d.self.Zone))
+	}
 }
 
 func (d *Daemon) hold(a control.HoldShards) {
