--- a/daemon/control.go
+++ b/daemon/control.go
@@ -101,6 +101,7 @@
 func (d *Daemon) publish(change func(*entry.View)) {
 	next := *d.view.Load()
 	change(&next)
+	next.NoteHolders(d.self.ID, time.Now())
 	d.view.Store(&next)
 }
 
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -88,9 +88,9 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	for i := range candidates {
 		answer.Entries = append(answer.Entries, candidates[i].entry)
-		if answer.KeyPrefix == "" && doc != nil && len(candidates[i].shards) > 0 {
-			answer.KeyPrefix = prefixOf(doc, candidates[i].shards[0])
-		}
+	}
+	if shard, found := view.keyShard(candidates, time.Now()); found && doc != nil {
+		answer.KeyPrefix = prefixOf(doc, shard)
 	}
 	return answer
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -23,6 +23,8 @@
 	Held []control.HeldShard
 	// Leaving is set when this instance is leaving.
 	Leaving bool
+	// holders is kept by NoteHolders.
+	holders map[document.ShardID]holder
 	// Sites is nil if the document has no client blocks.
 	Sites Sites
 }
