lease: keep the shards of a zone's last instance during an outage

Cause: an instance that reached neither the platform nor its zone's other instances gave its shards up. In a zone of two, one crash during an outage of the platform thus stopped the whole zone until the platform was back, while a zone that is cut off has to go on serving what it can. The rule guarded against a partition inside a zone, which is outside the failure model: within it the others are dead or paused, a paused one confirms before it uses a shard, and a new one probes the holder first.

--- a/core/lease/hold.go
+++ b/core/lease/hold.go
@@ -14,10 +14,6 @@
 }
 
 func (k *Keeper) tickHolding(s *slot, now time.Time) {
-	if k.isolated(s) {
-		k.suspend(s, now, now, "isolated")
-		return
-	}
 	if k.view.Leaving && k.view.Drained.After(s.takenAt) {
 		k.set(s, dropping, now, "leaving")
 		return
@@ -30,25 +26,6 @@
 	}
 }
 
-// isolated tells whether the platform does not answer and all other instances
-// of the zone that were seen since the last confirmed renewal became
-// unreachable without leaving: then one of them may reach the platform and
-// replace this instance.
-func (k *Keeper) isolated(s *slot) bool {
-	if !k.view.Down {
-		return false
-	}
-	lost := false
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
-		if !m.Gone {
-			return false
-		}
-		lost = lost || m.GoneSince.After(s.confirmed)
-	}
-	return lost
-}
-
 // renew writes the row of a shard that this instance holds or held.
 func (k *Keeper) renew(s *slot, now time.Time) {
 	k.send(s, Row{
@@ -98,13 +75,9 @@
 		}
 		s.epoch = s.write.row.Epoch
 		s.takenAt = now
-		s.confirmed = s.write.sent
 		k.set(s, holding, now, "taken")
-	case holding:
-		s.confirmed = s.write.sent
 	case resuming:
 		if valid {
-			s.confirmed = s.write.sent
 			k.set(s, holding, now, "confirmed by the platform")
 		}
 	case releasing:
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -64,10 +64,9 @@
 	version uint64
 	readAt  time.Time
 
-	epoch     uint64
-	takenAt   time.Time
-	confirmed time.Time
-	changed   time.Time
+	epoch   uint64
+	takenAt time.Time
+	changed time.Time
 	// basis is the row under which a mate handed the shard over, from that
 	// mate, whose last renewal may show up in the row later.
 	basis Row
