--- a/test.sh
+++ b/test.sh
@@ -9,6 +9,6 @@
 	sed -n 's/^test: */known red, not run: /p' KNOWN-RED.txt
 fi
 go test -race -timeout 30m ${skip:+-skip "$skip"} ./... ./core/...
-# The race detector makes the generated sequences ten times slower, so their
-# full number runs without it.
-exec go test -timeout 10m -run TestFaultSequences ./core/traffic
+# The race detector makes generated sequences and schedules up to ten times
+# slower, so their full number runs without it.
+exec go test -timeout 20m ${skip:+-skip "$skip"} -run 'TestFaultSequences|TestGeneratedSchedules' ./core/traffic ./core/control
