--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,10 +23,6 @@
 	raw     syscall.RawConn
 	poll    poll
 	written int64
-	// turn is nil for a connection that is not plain TCP.
-	turn *turn
-	// reused is set once the connection has carried an exchange.
-	reused bool
 	// end returns the connection to its pool, or closes it.
 	end func(reuse bool)
 }
@@ -34,7 +30,6 @@
 func newCountedConn(conn net.Conn) *countedConn {
 	c := &countedConn{Conn: conn, raw: rawOf(conn)}
 	c.poll.prepare(unix.POLLIN | unix.POLLRDHUP)
-	c.turn = newTurn(conn, c.raw)
 	return c
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -86,18 +86,6 @@
 // Do carries out the attempt. If the returned answer has a Stream, the
 // exchange goes on until the stream is closed. It may use spare for the answer.
 func (x *Exchange) Do(p *Pool, header *fasthttp.RequestHeader, body Body, deadline time.Time, spare *Answer) Ending {
-	for {
-		// A stale connection has carried no byte of this request, and each one
-		// is closed, so the loop ends with the idle connections of the pool.
-		ending := x.try(p, header, body, deadline, spare)
-		if ending.Err != errStale {
-			return ending
-		}
-	}
-}
-
-// try carries out the attempt on one connection.
-func (x *Exchange) try(p *Pool, header *fasthttp.RequestHeader, body Body, deadline time.Time, spare *Answer) Ending {
 	conn, err := p.acquire(deadline)
 	if err != nil {
 		return Ending{Result: traffic.NotSent, Err: err}
@@ -133,16 +121,15 @@
 }
 
 func (x *Exchange) roundTrip(header *fasthttp.RequestHeader, body Body, spare *Answer) (*Answer, io.Reader, error) {
-	err, waitErr := x.send(header, body)
+	writer := x.pool.host.AcquireWriter(x.use)
+	err := writeRequest(writer, header, body)
+	x.pool.host.ReleaseWriter(writer)
 	if errors.Is(err, errCaller) {
 		return nil, nil, err
 	}
 	if err != nil && x.use.written == 0 {
 		return nil, nil, err
 	}
-	if waitErr != nil {
-		return nil, nil, waitErr
-	}
 	// An upstream may answer before it has read the whole upload, and close.
 	answer, rest, readErr := readAnswer(x.reader, header.IsHead(), spare)
 	if readErr != nil {
@@ -157,17 +144,6 @@
 	return answer, rest, nil
 }
 
-// send writes the request. On a reused connection it also waits for the answer,
-// and the second error tells why none came.
-func (x *Exchange) send(header *fasthttp.RequestHeader, body Body) (writeErr, waitErr error) {
-	writer := x.pool.host.AcquireWriter(x.use)
-	defer x.pool.host.ReleaseWriter(writer)
-	if x.use.reused && x.use.turn != nil {
-		return x.use.turn.take(writer, header, body)
-	}
-	return writeRequest(writer, header, body), nil
-}
-
 // failure classifies an attempt that brought no whole answer.
 func (x *Exchange) failure(conn *countedConn, err error) traffic.Result {
 	x.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -53,8 +53,7 @@
 // ends and the pool is no longer referenced.
 func (p *Pool) Close() { p.host.CloseIdleConnections() }
 
-// acquire returns an open connection. Nothing is pending on it, unless it is a
-// reused one with a turn, which checks this by itself.
+// acquire returns an open connection on which nothing is pending.
 func (p *Pool) acquire(deadline time.Time) (*countedConn, error) {
 	for {
 		wait := min(time.Until(deadline), dialTimeout)
@@ -70,8 +69,7 @@
 			p.host.CloseConn(pooled)
 			return nil, io.ErrNoProgress
 		}
-		conn.reused = conn.written > 0
-		if conn.reused && conn.turn == nil && !conn.pristine() {
+		if conn.written > 0 && !conn.pristine() {
 			p.host.CloseConn(pooled)
 			continue
 		}
