--- a/scenario/fleet/script_test.go
+++ b/scenario/fleet/script_test.go
@@ -22,7 +22,7 @@
 
 // sections reads the example document of a user.
 func sections(user string) ([]document.Section, error) {
-	names, err := filepath.Glob(filepath.Join("..", "..", "examples", user, "*.toml"))
+	names, err := filepath.Glob(filepath.Join("..", "..", "examples", user, "sections", "*.toml"))
 	if err != nil {
 		return nil, err
 	}
