control: keep what own zone and other zones say of a zone apart

Each digest from another zone started the wait for a lasting difference, and each message from the zone's other instance, which had the same view, ended it. Ruled out by a trace: lost pages and the page interval, since no page was ever asked for.

--- a/core/control/join.go
+++ b/core/control/join.go
@@ -53,7 +53,7 @@
 	listedAt time.Time
 
 	// differs tells since when the view of a zone differs from that of others.
-	differs map[string]time.Time
+	differs map[view]time.Time
 
 	relays   []relay
 	sequence uint64
@@ -208,24 +208,32 @@
 	if h.Sender.Zone != e.config.Zone {
 		return
 	}
-	if e.stillDiffers(now, h.Sender.Zone, h.ZoneHash != e.members.ZoneHash()) {
+	if e.stillDiffers(now, view{zone: h.Sender.Zone, own: true}, h.ZoneHash != e.members.ZoneHash()) {
 		e.fetchZone(now, &h.Sender, h.Sender.Zone)
 	}
 }
 
-// stillDiffers notes whether the view of a zone differs from that of a peer, and
-// tells whether it has done so for differTime.
-func (e *Engine) stillDiffers(now time.Time, zone string, differs bool) bool {
+// view is the view that peers have of a zone. What the instances of the own zone
+// say is kept apart from what others say: instances that start together can
+// agree and yet not know a dead instance that all other zones still list.
+type view struct {
+	zone string
+	own  bool // the peers are in the own zone
+}
+
+// stillDiffers notes whether the own view of a zone differs from that of a peer,
+// and tells whether it has done so for differTime.
+func (e *Engine) stillDiffers(now time.Time, v view, differs bool) bool {
 	if !differs {
-		delete(e.join.differs, zone)
+		delete(e.join.differs, v)
 		return false
 	}
-	since, noted := e.join.differs[zone]
+	since, noted := e.join.differs[v]
 	if !noted && len(e.join.differs) < maxListed {
 		if e.join.differs == nil {
-			e.join.differs = map[string]time.Time{}
+			e.join.differs = map[view]time.Time{}
 		}
-		e.join.differs[zone] = now
+		e.join.differs[v] = now
 	}
 	return noted && now.Sub(since) >= differTime
 }
@@ -248,7 +256,7 @@
 	differing := e.members.Differing(theirs)
 	for i := range theirs {
 		zone := theirs[i].Zone
-		if e.stillDiffers(now, zone, slices.Contains(differing, zone)) {
+		if e.stillDiffers(now, view{zone: zone}, slices.Contains(differing, zone)) {
 			e.fetchZone(now, from, zone)
 		}
 	}
