--- a/core/control/clientblocks.go
+++ b/core/control/clientblocks.go
@@ -9,13 +9,13 @@
 )
 
 // Limits of the transfer of client blocks. A restarting instance fetches a full
-// table of about 15 MB in less than a minute and slows no mate down.
+// table of about 15 MB in less than a minute and slows no zone peer down.
 const (
 	blockFetches  = 8                // chunks asked for at a time
 	blocksASecond = 10.0             // chunks asked for, on average
-	blockTimeout  = 1 * time.Second  // until another mate is asked
-	blockTries    = 3                // mates asked before the object store
-	blockServed   = float64(1 << 20) // bytes sent to mates per second
+	blockTimeout  = 1 * time.Second  // until another zone peer is asked
+	blockTries    = 3                // zone peers asked before the object store
+	blockServed   = float64(1 << 20) // bytes sent to zone peers per second
 	maxObject     = 4 << 20          // bytes of a chunk or a manifest
 )
 
@@ -85,16 +85,16 @@
 	}
 }
 
-// fetchBlock asks a mate, or the object store when no mate delivers.
+// fetchBlock asks a zone peer, or the object store when no zone peer delivers.
 func (e *Engine) fetchBlock(f *blockFetch, now time.Time) {
 	f.sent = now
 	f.tries++
-	mates := e.members.Mates()
-	if len(mates) > 0 && f.tries <= blockTries {
-		mate := &mates[e.random.IntN(len(mates))]
-		f.from = mate.ID
+	zonePeers := e.members.ZonePeers()
+	if len(zonePeers) > 0 && f.tries <= blockTries {
+		zonePeer := &zonePeers[e.random.IntN(len(zonePeers))]
+		f.from = zonePeer.ID
 		f.data = nil
-		e.reply(mate, &BlockFetch{Hash: f.hash})
+		e.reply(zonePeer, &BlockFetch{Hash: f.hash})
 		return
 	}
 	f.tries = 0
@@ -128,7 +128,7 @@
 	}
 }
 
-// serveBlock answers within the limit; a mate that gets no answer asks another.
+// serveBlock answers within the limit; a zone peer that gets no answer asks another.
 func (e *Engine) serveBlock(to *member.Record, m *BlockFetch) {
 	b := &e.blocks
 	if b.served <= 0 || to.Zone != e.config.Zone {
@@ -156,7 +156,7 @@
 	return e.blocks.table.Chunk(hash)
 }
 
-// blockPart takes a part of an object from a mate.
+// blockPart takes a part of an object from a zone peer.
 func (e *Engine) blockPart(now time.Time, from *member.Record, m *BlockAnswer) {
 	for i := range e.blocks.fetching {
 		f := &e.blocks.fetching[i]
--- a/core/control/documents.go
+++ b/core/control/documents.go
@@ -18,7 +18,7 @@
 	pollMinimum = 1 * time.Second
 	// maxPolls bounds the polls in flight while the store is slow.
 	maxPolls = 3
-	// askInterval is how often a starting instance asks its mates for a
+	// askInterval is how often a starting instance asks its zone peers for a
 	// document.
 	askInterval = 500 * time.Millisecond
 	// reportInterval is how often an instance without a document logs that.
@@ -49,15 +49,15 @@
 		FreshSince: e.join.fresh,
 		Deaths:     e.members.Deaths(),
 	}
-	for _, r := range e.members.Mates() {
-		view.Mates = append(view.Mates, peerOf(&r))
+	for _, r := range e.members.ZonePeers() {
+		view.ZonePeers = append(view.ZonePeers, peerOf(&r))
 	}
 	return view
 }
 
 func (e *Engine) tickDocuments(now time.Time) {
 	e.poll(now)
-	e.askMates(now)
+	e.askZonePeers(now)
 	var view revision.View
 	if e.store.Busy() {
 		view = e.zoneView()
@@ -105,8 +105,8 @@
 	e.carryOutDocuments(now)
 }
 
-// askMates asks mates for a document while this instance has none.
-func (e *Engine) askMates(now time.Time) {
+// askZonePeers asks zone peers for a document while this instance has none.
+func (e *Engine) askZonePeers(now time.Time) {
 	d := &e.documents
 	if e.store.Revision() != 0 {
 		return
@@ -118,14 +118,14 @@
 	if now.Sub(d.asked) < askInterval {
 		return
 	}
-	mates := e.members.Mates()
-	if len(mates) == 0 {
+	zonePeers := e.members.ZonePeers()
+	if len(zonePeers) == 0 {
 		return
 	}
 	d.asked = now
-	start := e.random.IntN(len(mates))
-	for k := 0; k < len(mates) && k < seedsAtOnce; k++ {
-		e.reply(&mates[(start+k)%len(mates)], &HeadFetch{})
+	start := e.random.IntN(len(zonePeers))
+	for k := 0; k < len(zonePeers) && k < seedsAtOnce; k++ {
+		e.reply(&zonePeers[(start+k)%len(zonePeers)], &HeadFetch{})
 	}
 }
 
@@ -284,7 +284,7 @@
 
 // announce tells the zone and one instance of each other zone at once.
 func (e *Engine) announce() {
-	for _, r := range e.members.Mates() {
+	for _, r := range e.members.ZonePeers() {
 		e.reply(&r, &Gossip{})
 	}
 	for _, r := range e.members.OnePerZone() {
--- a/core/control/engine.go
+++ b/core/control/engine.go
@@ -115,7 +115,7 @@
 func (e *Engine) doubt(now time.Time) {
 	e.store.Paused()
 	e.join = join{since: now, round: e.join.round + 1}
-	e.members.ProbeMates(now)
+	e.members.ProbeZonePeers(now)
 }
 
 func (e *Engine) take() []Action {
--- a/core/control/engine_test.go
+++ b/core/control/engine_test.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// Guards against an instance that knows its mates only from the instance list
+// Guards against an instance that knows its zone peers only from the instance list
 // and counts as alone before they answer.
 func TestStartByInstanceList(t *testing.T) {
 	t.Parallel()
@@ -107,13 +107,13 @@
 	is.Equal(s.all[2].active, nil) // nobody is known
 	delete(s.noPlat, "z0")
 	s.until(5*time.Second, func() bool { return s.all[2].active != nil })
-	is.True(s.all[2].engine.join.mateAnswered)
+	is.True(s.all[2].engine.join.zonePeerAnswered)
 	s.run(3 * time.Second)
 	is.True(s.allActive(r))
 	s.noFaults(t)
 }
 
-// Guards against a start from a mate that missed a revision: the zone is cut
+// Guards against a start from a zone peer that missed a revision: the zone is cut
 // off, the only instance that had the newest revision dies, and the other one
 // was paused while it became active.
 func TestStartWithoutSource(t *testing.T) {
--- a/core/control/join.go
+++ b/core/control/join.go
@@ -25,10 +25,10 @@
 	listRetry    = 1 * time.Second
 	// pingGrace is how long the instances that the list named have to answer.
 	pingGrace = 500 * time.Millisecond
-	// mateGrace is how long an instance that knows others, but none of its own
+	// zonePeerGrace is how long an instance that knows others, but none of its own
 	// zone, waits for one to appear.
-	mateGrace = 1 * time.Second
-	maxListed = 4096
+	zonePeerGrace = 1 * time.Second
+	maxListed     = 4096
 )
 
 // join is the progress of comparing the view of the zone with others, since the
@@ -40,9 +40,9 @@
 	round uint64
 	// fresh is when the view was complete, zero before.
 	fresh time.Time
-	// mateAnswered and otherAnswered tell whose pages were complete.
-	mateAnswered  bool
-	otherAnswered bool
+	// zonePeerAnswered and otherAnswered tell whose pages were complete.
+	zonePeerAnswered bool
+	otherAnswered    bool
 	// listAnswered is when the instance list was read, listPings how many
 	// unknown instances it named.
 	listAnswered time.Time
@@ -130,7 +130,7 @@
 	}
 }
 
-// fetchPages asks for the records of the zone, or of all, until a mate or
+// fetchPages asks for the records of the zone, or of all, until a zone peer or
 // another instance answered in full.
 func (e *Engine) fetchPages(now time.Time) {
 	if !e.join.paged.IsZero() && now.Sub(e.join.paged) < pageInterval {
@@ -143,10 +143,10 @@
 			e.reply(r, &MembersFetch{Round: e.join.round})
 		}
 	}
-	mates := e.members.Mates()
-	e.random.Shuffle(len(mates), func(i, j int) { mates[i], mates[j] = mates[j], mates[i] })
-	for i := range mates {
-		ask(&mates[i])
+	zonePeers := e.members.ZonePeers()
+	e.random.Shuffle(len(zonePeers), func(i, j int) { zonePeers[i], zonePeers[j] = zonePeers[j], zonePeers[i] })
+	for i := range zonePeers {
+		ask(&zonePeers[i])
 	}
 	if !e.join.otherAnswered {
 		e.members.Live(func(r *member.Record) {
@@ -161,18 +161,18 @@
 }
 
 // viewComplete tells whether this instance knows the live instances of its
-// zone: a mate showed them, or there is none.
+// zone: a zone peer showed them, or there is none.
 func (e *Engine) viewComplete(now time.Time) bool {
 	j := &e.join
-	if j.mateAnswered {
+	if j.zonePeerAnswered {
 		return true
 	}
-	if len(e.members.Mates()) > 0 {
+	if len(e.members.ZonePeers()) > 0 {
 		return false
 	}
 	listed := !j.listAnswered.IsZero()
 	answered := listed && (j.listPings == 0 || now.Sub(j.listAnswered) >= pingGrace)
-	// A starting instance without the list may have mates that it cannot find;
+	// A starting instance without the list may have zone peers that it cannot find;
 	// one that runs adopts revisions from other zones during an outage.
 	starting := e.store.Revision() == 0
 	if !answered && (starting || !e.calls.unreachable(now, 0)) {
@@ -180,7 +180,7 @@
 	}
 	alone := now.Sub(j.since)
 	nobody := len(e.config.Seeds) == 0 && listed && j.listPings == 0 && e.members.LiveCount() == 1
-	return nobody || j.otherAnswered && alone >= mateGrace || alone >= aloneTime
+	return nobody || j.otherAnswered && alone >= zonePeerGrace || alone >= aloneTime
 }
 
 // pageReceived merges a page and asks for the next one.
@@ -195,7 +195,7 @@
 		return
 	}
 	if from.Zone == e.config.Zone {
-		e.join.mateAnswered = true
+		e.join.zonePeerAnswered = true
 		return
 	}
 	if m.Zone == "" {
@@ -203,7 +203,7 @@
 	}
 }
 
-// compareZone asks a mate for its records of the zone when its view differs.
+// compareZone asks a zone peer for its records of the zone when its view differs.
 func (e *Engine) compareZone(now time.Time, h *Header) {
 	if h.Sender.Zone != e.config.Zone {
 		return
--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -47,14 +47,14 @@
 	}
 	since := now.Add(-max(view.Quarantine, lease.DefaultQuarantine))
 	e.members.Recent(since, func(r *member.Record, goneSince time.Time) {
-		m := lease.Mate{
+		m := lease.ZonePeer{
 			ID: string(r.ID), Address: r.Address,
 			Leaving: r.State == member.Leaving, Gone: r.State.Gone(), GoneSince: goneSince,
 		}
 		for _, s := range r.Shards {
 			m.Shards = append(m.Shards, lease.Claim{Index: s.Index, Epoch: s.Epoch})
 		}
-		view.Mates = append(view.Mates, m)
+		view.ZonePeers = append(view.ZonePeers, m)
 	})
 	return view
 }
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -7,7 +7,7 @@
 )
 
 // releaseTime is how long a departure waits for the platform to take the
-// release of a shard when no mate takes it.
+// release of a shard when no zone peer takes it.
 const releaseTime = 10 * time.Second
 
 // leaving is the progress of a departure.
--- a/core/lease/hand.go
+++ b/core/lease/hand.go
@@ -43,11 +43,11 @@
 	}
 }
 
-// successor is the live mate with the fewest shards that did not refuse.
-func (k *Keeper) successor(s *slot) *Mate {
-	var best *Mate
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+// successor is the live zone peer with the fewest shards that did not refuse.
+func (k *Keeper) successor(s *slot) *ZonePeer {
+	var best *ZonePeer
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if m.Gone || m.Leaving || s.refusedBy[m.ID] {
 			continue
 		}
@@ -59,7 +59,7 @@
 }
 
 func (k *Keeper) tickHanding(s *slot, now time.Time) {
-	m := k.mate(s.successor)
+	m := k.zonePeer(s.successor)
 	if m == nil || m.Gone {
 		// It may have accepted before it died, so the shard lapses.
 		k.set(s, idle, now, "successor is gone")
@@ -75,10 +75,10 @@
 	})
 }
 
-func (k *Keeper) mate(id string) *Mate {
-	for i := range k.view.Mates {
-		if k.view.Mates[i].ID == id {
-			return &k.view.Mates[i]
+func (k *Keeper) zonePeer(id string) *ZonePeer {
+	for i := range k.view.ZonePeers {
+		if k.view.ZonePeers[i].ID == id {
+			return &k.view.ZonePeers[i]
 		}
 	}
 	return nil
@@ -110,7 +110,7 @@
 	k.passOn(s, now)
 }
 
-// Handover takes a shard that a mate passes on, and tells whether it accepts.
+// Handover takes a shard that a zone peer passes on, and tells whether it accepts.
 func (k *Keeper) Handover(index uint16, epoch uint64, from string, row Row, version uint64, sent, now time.Time) bool {
 	if int(index) >= len(k.slots) {
 		return false
@@ -133,7 +133,7 @@
 	s.epoch = epoch
 	s.takenAt = now
 	s.write = write{}
-	k.set(s, holding, now, "accepted from a mate")
+	k.set(s, holding, now, "accepted from a zone peer")
 	return true
 }
 
@@ -148,12 +148,12 @@
 	}, now)
 }
 
-// rebalance gives a shard to a mate that holds at least two fewer.
+// rebalance gives a shard to a zone peer that holds at least two fewer.
 func (k *Keeper) rebalance(now time.Time) {
 	own := len(k.Claims())
 	fewest := -1
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if !m.Gone && !m.Leaving && (fewest < 0 || len(m.Shards) < fewest) {
 			fewest = len(m.Shards)
 		}
@@ -172,7 +172,7 @@
 	k.uneven = time.Time{}
 	for i := len(k.slots) - 1; i >= 0; i-- {
 		if s := &k.slots[i]; s.state == holding && !s.write.inFlight && !s.uncertain {
-			k.set(s, dropping, now, "a mate has fewer shards")
+			k.set(s, dropping, now, "a zone peer has fewer shards")
 			return
 		}
 	}
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -26,7 +26,7 @@
 	// rankDelay keeps candidates of lower rank from writing at the same time.
 	rankDelay = 3 * time.Second
 	// severalDelay is how long an instance that holds a shard leaves another
-	// one to mates that hold fewer.
+	// one to zone peers that hold fewer.
 	severalDelay = 10 * time.Second
 )
 
@@ -46,7 +46,7 @@
 	// dropping: this instance stopped to use the shard, requests may be in
 	// flight.
 	dropping
-	// handing: the shard was offered to a mate, which may use it already.
+	// handing: the shard was offered to a zone peer, which may use it already.
 	handing
 	// releasing: the write that releases the row is under way.
 	releasing
@@ -67,8 +67,8 @@
 	epoch   uint64
 	takenAt time.Time
 	changed time.Time
-	// basis is the row under which a mate handed the shard over, from that
-	// mate, whose last renewal may show up in the row later.
+	// basis is the row under which a zone peer handed the shard over, from that
+	// zone peer, whose last renewal may show up in the row later.
 	basis Row
 	from  string
 
@@ -106,8 +106,8 @@
 	stale bool
 }
 
-// Mate is an instance of the own zone.
-type Mate struct {
+// ZonePeer is an instance of the own zone.
+type ZonePeer struct {
 	ID      string
 	Address string
 	Leaving bool
@@ -123,7 +123,7 @@
 	Epoch uint64
 }
 
-func (m *Mate) claims(index uint16) bool {
+func (m *ZonePeer) claims(index uint16) bool {
 	for _, c := range m.Shards {
 		if c.Index == index {
 			return true
@@ -134,9 +134,9 @@
 
 // View is what the Keeper needs to know at a tick.
 type View struct {
-	// Mates are the instances of the own zone that are alive or died within
+	// ZonePeers are the instances of the own zone that are alive or died within
 	// the quarantine, without this one.
-	Mates []Mate
+	ZonePeers []ZonePeer
 	// Fresh tells that the view was compared with another instance since the
 	// start or the last pause.
 	Fresh bool
@@ -162,7 +162,7 @@
 	reading bool
 	// since is when this instance started or last ended a pause.
 	since time.Time
-	// uneven is since when a mate holds at least two shards fewer.
+	// uneven is since when a zone peer holds at least two shards fewer.
 	uneven time.Time
 	out    []Output
 }
@@ -322,10 +322,10 @@
 	k.do(Output{Kind: ReadRows})
 }
 
-// claimed tells whether a live mate says it uses the shard.
+// claimed tells whether a live zone peer says it uses the shard.
 func (k *Keeper) claimed(s *slot) bool {
-	for i := range k.view.Mates {
-		if m := &k.view.Mates[i]; !m.Gone && m.claims(s.index) {
+	for i := range k.view.ZonePeers {
+		if m := &k.view.ZonePeers[i]; !m.Gone && m.claims(s.index) {
 			return true
 		}
 	}
--- a/core/lease/resume.go
+++ b/core/lease/resume.go
@@ -23,22 +23,22 @@
 		k.renew(s, now)
 	}
 	if k.view.Down {
-		k.askMates(s, now)
+		k.askZonePeers(s, now)
 	}
 }
 
-// askMates asks the zone for the confirmation while the platform is down. It
+// askZonePeers asks the zone for the confirmation while the platform is down. It
 // is safe only as long as no candidate can have seen a whole quarantine of
 // silence.
-func (k *Keeper) askMates(s *slot, now time.Time) {
+func (k *Keeper) askZonePeers(s *slot, now time.Time) {
 	if !k.confirmable(s, now) || now.Sub(s.confirmAt) < confirmInterval {
 		return
 	}
 	s.confirmAt = now
 	s.round++
 	s.confirms = map[string]bool{}
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if !m.Gone {
 			k.do(Output{Kind: SendConfirm, Index: s.index, To: m.ID, Address: m.Address, Epoch: s.epoch, Round: s.round})
 		}
@@ -62,8 +62,8 @@
 	if s.known && s.row.Epoch > epoch {
 		return false
 	}
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if m.ID != from && m.claims(index) {
 			return false
 		}
@@ -73,7 +73,7 @@
 	return true
 }
 
-// Confirmed takes the answer of a mate; all live mates have to agree.
+// Confirmed takes the answer of a zone peer; all live zone peers have to agree.
 func (k *Keeper) Confirmed(index uint16, epoch, round uint64, from string, unchanged bool, now time.Time) {
 	if int(index) >= len(k.slots) {
 		return
@@ -84,8 +84,8 @@
 	}
 	s.confirms[from] = true
 	asked := 0
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if m.Gone {
 			continue
 		}
--- a/core/lease/take.go
+++ b/core/lease/take.go
@@ -47,7 +47,7 @@
 }
 
 // busy tells whether a shard is being taken; one at a time keeps the ranks of
-// the mates right.
+// the zone peers right.
 func (k *Keeper) busy() bool {
 	for i := range k.slots {
 		if k.slots[i].state == taking {
@@ -57,13 +57,13 @@
 	return false
 }
 
-// rank counts the live mates that should take the shard first: those that hold
+// rank counts the live zone peers that should take the shard first: those that hold
 // fewer shards, then by hash. It also tells whether any holds fewer.
 func (k *Keeper) rank(index uint16) (rank int, fewer bool) {
 	own := len(k.Claims())
 	ownHash := spread(k.self, index)
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if m.Gone || m.Leaving {
 			continue
 		}
@@ -116,8 +116,8 @@
 // that used the shard if this instance saw it.
 func (k *Keeper) silentSince(s *slot, now time.Time) time.Time {
 	since := time.Time{}
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if m.claims(s.index) && m.GoneSince.After(since) {
 			since = m.GoneSince
 		}
@@ -128,7 +128,7 @@
 	return since
 }
 
-// probe asks the previous holder during the window, and all mates at its end.
+// probe asks the previous holder during the window, and all zone peers at its end.
 func (k *Keeper) probe(s *slot, ending bool, now time.Time) {
 	if now.Sub(s.probed) < probeInterval {
 		return
@@ -140,21 +140,21 @@
 	if !ending {
 		return
 	}
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if !m.Gone && m.ID != s.row.Holder && now.Sub(s.unused[m.ID]) > answerLife/2 {
 			k.do(Output{Kind: SendProbe, Index: s.index, To: m.ID, Address: m.Address, Epoch: s.row.Epoch})
 		}
 	}
 }
 
-// answerLife is how long the answer of a mate that it does not use a shard
+// answerLife is how long the answer of a zone peer that it does not use a shard
 // counts.
 const answerLife = 5 * time.Second
 
 func (k *Keeper) allUnused(s *slot, now time.Time) bool {
-	for i := range k.view.Mates {
-		m := &k.view.Mates[i]
+	for i := range k.view.ZonePeers {
+		m := &k.view.ZonePeers[i]
 		if !m.Gone && now.Sub(s.unused[m.ID]) > answerLife {
 			return false
 		}
--- a/core/member/detector.go
+++ b/core/member/detector.go
@@ -86,9 +86,9 @@
 
 	entries []entry
 	index   map[ID]int
-	// mates are the live instances of the own zone with this one, by ID.
-	mates      []ID
-	matesValid bool
+	// zone peers are the live instances of the own zone with this one, by ID.
+	zonePeers      []ID
+	zonePeersValid bool
 	// ids are all known instances ordered by ID, for pages.
 	ids      []ID
 	idsValid bool
@@ -186,15 +186,15 @@
 	}
 }
 
-// Mates returns the live instances of the own zone without this one, by ID.
-func (d *Detector) Mates() []Record {
-	var mates []Record
+// ZonePeers returns the live instances of the own zone without this one, by ID.
+func (d *Detector) ZonePeers() []Record {
+	var zonePeers []Record
 	for _, id := range d.zoneIDs() {
 		if id != d.self.ID {
-			mates = append(mates, d.entries[d.index[id]].Record)
+			zonePeers = append(zonePeers, d.entries[d.index[id]].Record)
 		}
 	}
-	return mates
+	return zonePeers
 }
 
 // Recent calls f for the instances of the own zone that are alive, or that were
@@ -222,19 +222,19 @@
 
 // zoneIDs returns the live instances of the own zone, this one included.
 func (d *Detector) zoneIDs() []ID {
-	if d.matesValid {
-		return d.mates
+	if d.zonePeersValid {
+		return d.zonePeers
 	}
-	d.mates = append(d.mates[:0], d.self.ID)
+	d.zonePeers = append(d.zonePeers[:0], d.self.ID)
 	for i := range d.entries {
 		e := &d.entries[i]
 		if e.Zone == d.self.Zone && !e.State.Gone() {
-			d.mates = append(d.mates, e.ID)
+			d.zonePeers = append(d.zonePeers, e.ID)
 		}
 	}
-	sort.Slice(d.mates, func(i, j int) bool { return d.mates[i] < d.mates[j] })
-	d.matesValid = true
-	return d.mates
+	sort.Slice(d.zonePeers, func(i, j int) bool { return d.zonePeers[i] < d.zonePeers[j] })
+	d.zonePeersValid = true
+	return d.zonePeers
 }
 
 // Tick runs the systems of the detector and returns what to send.
--- a/core/member/ping.go
+++ b/core/member/ping.go
@@ -151,7 +151,7 @@
 	r := d.entries[at].Record
 	r.State = Dead
 	d.apply(r, now)
-	tell := append(d.Mates(), d.OnePerZone()...)
+	tell := append(d.ZonePeers(), d.OnePerZone()...)
 	d.entries[at].transmits += len(tell)
 	for i := range tell {
 		out = append(out, Output{Kind: SendGossip, To: tell[i].ID, Address: tell[i].Address})
@@ -166,9 +166,9 @@
 	d.probes = slices.DeleteFunc(d.probes, func(p probe) bool { return p.target == target })
 }
 
-// ProbeMates pings all members of the zone, after a pause in which any of them
+// ProbeZonePeers pings all members of the zone, after a pause in which any of them
 // may have gone.
-func (d *Detector) ProbeMates(now time.Time) {
+func (d *Detector) ProbeZonePeers(now time.Time) {
 	d.probes = d.probes[:0]
 	for _, id := range d.zoneIDs() {
 		if id == d.self.ID {
--- a/core/member/ping_test.go
+++ b/core/member/ping_test.go
@@ -7,12 +7,12 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a mate that is declared dead although its own messages arrive,
-// and against a silent mate whose death is known late.
-func TestMateInZoneOfTwo(t *testing.T) {
+// Guards against a zone peer that is declared dead although its own messages arrive,
+// and against a silent zone peer whose death is known late.
+func TestPeerInZoneOfTwo(t *testing.T) {
 	cases := []struct {
 		name  string
-		every time.Duration // between messages of the mate; its answers get lost
+		every time.Duration // between messages of the zone peer; its answers get lost
 		dead  bool
 	}{
 		{"answers get lost", 500 * time.Millisecond, false},
@@ -22,14 +22,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			start := time.Unix(1_700_000_000, 0)
-			mate := Record{ID: "b", Zone: "z", Address: "10.0.0.2:7000"}
+			zonePeer := Record{ID: "b", Zone: "z", Address: "10.0.0.2:7000"}
 			d := New(Record{ID: "a", Zone: "z", Address: "10.0.0.1:7000"}, 1, start)
-			d.Heard(mate, start)
+			d.Heard(zonePeer, start)
 			last := start
 			for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(50 * time.Millisecond) {
 				if now.Sub(last) >= c.every {
 					last = now
-					d.Heard(mate, now)
+					d.Heard(zonePeer, now)
 				}
 				d.Tick(now)
 			}
--- a/core/member/update.go
+++ b/core/member/update.go
@@ -128,7 +128,7 @@
 	if zone != d.self.Zone {
 		return
 	}
-	d.matesValid = false
+	d.zonePeersValid = false
 	if gone {
 		d.deaths++
 	}
--- a/core/revision/fetch.go
+++ b/core/revision/fetch.go
@@ -32,11 +32,11 @@
 	partial  map[string][]byte
 	// bytes counts what was received for the revision.
 	bytes int
-	// offers are the mates that wait for an acknowledgement.
+	// offers are the zone peers that wait for an acknowledgement.
 	offers []asker
 }
 
-// asker is a mate that waits for an acknowledgement in one of its rounds.
+// asker is a zone peer that waits for an acknowledgement in one of its rounds.
 type asker struct {
 	peer  Peer
 	round uint64
--- a/core/revision/round.go
+++ b/core/revision/round.go
@@ -5,7 +5,7 @@
 // Times of a round.
 const (
 	offerInterval = 300 * time.Millisecond
-	// offererPatience is how long an instance waits for the mate that offered a
+	// offererPatience is how long an instance waits for the zone peer that offered a
 	// revision before it offers the revision itself.
 	offererPatience = 1500 * time.Millisecond
 	// ackLife is how long an acknowledgement to a starting instance counts, and
@@ -30,7 +30,7 @@
 	synced bool
 }
 
-// offer is the state of a round at one mate.
+// offer is the state of a round at one zone peer.
 type offer struct {
 	to    Peer
 	sent  time.Time
@@ -56,7 +56,7 @@
 	Starting []Peer
 }
 
-// Offered takes the offer of a mate.
+// Offered takes the offer of a zone peer.
 func (s *Store) Offered(h *Head, from Peer, round uint64, now time.Time) {
 	s.remember(from, now)
 	if s.newer(h) {
@@ -82,7 +82,7 @@
 	}
 }
 
-// await notes a mate to acknowledge to when the fetch is complete.
+// await notes a zone peer to acknowledge to when the fetch is complete.
 func (f *fetch) await(from Peer, round uint64) {
 	for i := range f.offers {
 		if f.offers[i].peer.ID == from.ID {
@@ -159,7 +159,7 @@
 	s.advanceRound(view, now)
 }
 
-// row returns the state of a mate in the round.
+// row returns the state of a zone peer in the round.
 func (r *round) row(p Peer) *offer {
 	for i := range r.rows {
 		if r.rows[i].to.ID == p.ID {
@@ -222,11 +222,11 @@
 	}
 	r.extra = forgetStarters(r.extra, now)
 	complete := true
-	for _, p := range view.Mates {
+	for _, p := range view.ZonePeers {
 		complete = s.offerTo(p, now) && complete
 	}
 	for i := range r.extra {
-		if p := r.extra[i].peer; !hasPeer(view.Mates, p.ID) {
+		if p := r.extra[i].peer; !hasPeer(view.ZonePeers, p.ID) {
 			complete = s.offerTo(p, now) && complete
 		}
 	}
@@ -235,7 +235,7 @@
 	}
 }
 
-// offerTo tells whether the mate has acknowledged, and offers again if not.
+// offerTo tells whether the zone peer has acknowledged, and offers again if not.
 func (s *Store) offerTo(p Peer, now time.Time) bool {
 	row := s.round.row(p)
 	life := now.Sub(row.acked)
--- a/core/revision/store.go
+++ b/core/revision/store.go
@@ -12,8 +12,8 @@
 
 // View is what the failure detector knows of the own zone.
 type View struct {
-	// Mates are the live instances of the own zone without this one.
-	Mates []Peer
+	// ZonePeers are the live instances of the own zone without this one.
+	ZonePeers []Peer
 	// Fresh tells that the view was compared with another instance since the
 	// start or the last pause of this instance.
 	Fresh bool
@@ -86,7 +86,7 @@
 	round    *round
 	rounds   uint64
 	stagedAt time.Time
-	// offered is set when the staged revision came by the offer of a mate,
+	// offered is set when the staged revision came by the offer of a zone peer,
 	// which is expected to activate it.
 	offered  bool
 	starting []starter
@@ -194,14 +194,14 @@
 	}
 }
 
-// Heard takes the active revision that a peer put into a message; mate tells
+// Heard takes the active revision that a peer put into a message; zone peer tells
 // that the peer is in the own zone.
-func (s *Store) Heard(from Peer, revision uint64, mate bool, now time.Time) {
+func (s *Store) Heard(from Peer, revision uint64, zonePeer bool, now time.Time) {
 	if revision > s.HeldRevision() {
 		s.askHead(from, now)
 		return
 	}
-	if s.active == nil || !mate || s.staged == nil {
+	if s.active == nil || !zonePeer || s.staged == nil {
 		return
 	}
 	if revision == s.staged.Revision {
--- a/core/revision/store_test.go
+++ b/core/revision/store_test.go
@@ -44,7 +44,7 @@
 	return Ack{From: Peer{ID: from}, Round: round, Revision: h.Revision, Digest: h.Digest(), Held: h.Revision}
 }
 
-// started returns a store that is active with revision 1 beside the mate p.
+// started returns a store that is active with revision 1 beside the zone peer p.
 func started(t *testing.T, view View) *Store {
 	t.Helper()
 	s := New("self", accept)
@@ -64,7 +64,7 @@
 // the zone activated a newer one.
 func TestRoundWaitsForStarting(t *testing.T) {
 	is := is.New(t)
-	view := View{Mates: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
+	view := View{ZonePeers: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
 	s := started(t, view)
 	h := head(2, "y")
 	fetched(s, h, t0, "y")
@@ -93,7 +93,7 @@
 		active bool
 	}{
 		{"read before the view was complete", t0, 0, 0, false},
-		{"read before a mate died", fresh, 0, 1, false},
+		{"read before a zone peer died", fresh, 0, 1, false},
 		{"read since", fresh, 1, 1, true},
 	}
 	for _, c := range cases {
@@ -110,8 +110,8 @@
 			}
 		})
 	}
-	t.Run("a mate that is not synced", func(t *testing.T) {
-		view := View{Mates: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
+	t.Run("a zone peer that is not synced", func(t *testing.T) {
+		view := View{ZonePeers: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
 		s := New("self", accept)
 		h := head(1, "x")
 		fetched(s, h, t0, "x")
@@ -126,7 +126,7 @@
 // Guards against older revisions, other content and wrong texts from a peer.
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
-	view := View{Mates: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
+	view := View{ZonePeers: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
 	s := started(t, view)
 	fetched(s, head(3, "y"), t0, "y")
 	s.FromPeer(head(2, "z"), Peer{ID: "p"}, t0)
@@ -147,7 +147,7 @@
 // Guards against a change of one section that transfers the others.
 func TestOnlyChangedSections(t *testing.T) {
 	is := is.New(t)
-	view := View{Mates: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
+	view := View{ZonePeers: []Peer{{ID: "p"}}, Fresh: true, FreshSince: t0}
 	s := started(t, view)
 	s.FromPeer(head(2, "x", "new"), Peer{ID: "p"}, t0)
 	fetches := outputs(s, FetchSection)
--- a/core/revision/sync.go
+++ b/core/revision/sync.go
@@ -60,7 +60,7 @@
 }
 
 // confirmed tells whether a source that a starting instance may trust has no
-// newer revision than the round: a synced mate, or the platform by a read that
+// newer revision than the round: a synced zone peer, or the platform by a read that
 // was sent since the view is fresh and since the last instance of the zone
 // died. An older read may miss a revision that only the dead instance had
 // active.
