--- a/operate/change.go
+++ b/operate/change.go
@@ -75,6 +75,9 @@
 		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
 		case c.unknown != nil:
 			return nil, &UnknownError{Operation: c.result.Operation, Err: errors.Join(c.unknown, err)}
+		case request.operation != "" && ExitCode(err) == ExitPlatform:
+			// The earlier run may have made the change.
+			return nil, &UnknownError{Operation: c.result.Operation, Err: err}
 		default:
 			return nil, err
 		}
--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -243,6 +243,20 @@
 	return nil, platform.ErrUnknown
 }
 
+// Guards against a resumed change that is reported as not made because the
+// platform is still down: the earlier run may have made it.
+func TestResumeWhilePlatformIsDown(t *testing.T) {
+	is := is.New(t)
+	s, o := start(t)
+	s.SetFaults(standin.Faults{Down: true})
+	request := edited(1, "80", "81")
+	_, err := o.Apply(ctx, request)
+	is.Equal(ExitCode(err), ExitPlatform)
+	request.Operation = "earlier"
+	_, err = o.Apply(ctx, request)
+	is.Equal(ExitCode(err), ExitUnknown)
+}
+
 // Guards against lost or repeated changes when editors of different sections
 // race, while responses get lost.
 func TestRacingEditors(t *testing.T) {
