--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -346,18 +346,18 @@
 		s.write.stale = true
 		switch s.state {
 		case holding, resuming, dropping:
-			k.suspend(s, now.Add(-gap), now, "paused")
+			k.suspend(s, now.Add(-gap), now)
 		}
 	}
 }
 
 // suspend stops the use of a shard until it is confirmed.
-func (k *Keeper) suspend(s *slot, lost, now time.Time, why string) {
+func (k *Keeper) suspend(s *slot, lost, now time.Time) {
 	if s.state != resuming {
 		s.lostAt = lost
 	}
 	s.confirms = nil
-	k.set(s, resuming, now, why)
+	k.set(s, resuming, now, "paused")
 }
 
 // Idle tells whether no shard is held, nor on its way in or out.
