tables: move the interface of the table service out of platform/

platform/ is to hold the adapter to the users' platform only. The package with the product's own table interface, its client and stand-in moves unchanged to tables/. Ruled out: keeping both in one folder, which would hide what decides. No behaviour changes; go vet and the build pass.

--- a/cmd/pistachioctl/main.go
+++ b/cmd/pistachioctl/main.go
@@ -13,7 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"pistachioford.example/pistachioford/operate"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // Environment variables that replace flags.
@@ -109,7 +109,7 @@
 	if o.platform == "" {
 		o.platform = os.Getenv(platformVariable)
 	}
-	client, err := platform.NewClient(platform.Config{
+	client, err := tables.NewClient(tables.Config{
 		URL: o.platform, Instance: "pistachioctl", WaitForBudget: true,
 		ReadsPerSecond: readsPerSecond, WritesPerSecond: writesPerSecond,
 	})
--- a/cmd/pistachioctl/main_test.go
+++ b/cmd/pistachioctl/main_test.go
@@ -12,8 +12,8 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -74,11 +74,11 @@
 	})
 	go func() { _ = app.Listener(listener) }()
 	ts.Defer(func() { _ = app.Shutdown() })
-	c, err := platform.NewClient(platform.Config{URL: ts.Getenv(platformVariable)})
+	c, err := tables.NewClient(tables.Config{URL: ts.Getenv(platformVariable)})
 	ts.Check(err)
 	defer c.Close()
-	ts.Check(c.Register(context.Background(), platform.Instance{
-		ID: args[0], Zone: args[1], Role: platform.RoleEntry, Operators: listener.Addr().String(),
+	ts.Check(c.Register(context.Background(), tables.Instance{
+		ID: args[0], Zone: args[1], Role: tables.RoleEntry, Operators: listener.Addr().String(),
 	}))
 }
 
--- a/cmd/pistachioford/run.go
+++ b/cmd/pistachioford/run.go
@@ -10,9 +10,9 @@
 
 	"pistachioford.example/pistachioford/daemon"
 	"pistachioford.example/pistachioford/demo"
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
 	"pistachioford.example/pistachioford/settings"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 	"pistachioford.example/pistachioford/telemetry"
 )
 
@@ -73,7 +73,7 @@
 		return code
 	}
 	telemetry.ConfigureLog(loaded.LogLevel)
-	client, err := platform.NewClient(platform.Config{URL: loaded.Platform})
+	client, err := tables.NewClient(tables.Config{URL: loaded.Platform})
 	if err != nil {
 		return fail("platform", err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,8 +23,8 @@
 	"pistachioford.example/core/traffic"
 	"pistachioford.example/pistachioford/entry"
 	"pistachioford.example/pistachioford/peer"
-	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/settings"
+	"pistachioford.example/pistachioford/tables"
 	"pistachioford.example/pistachioford/telemetry"
 	"pistachioford.example/pistachioford/upstream"
 )
@@ -36,7 +36,7 @@
 // Daemon is one entry instance.
 type Daemon struct {
 	settings *settings.Settings
-	platform platform.Platform
+	platform tables.Platform
 	self     entry.Self
 	addresses
 
@@ -80,7 +80,7 @@
 type addresses struct{ callersAt, peerAt, forwardAt, operatorsAt string }
 
 // New returns a Daemon that uses the given platform.
-func New(s *settings.Settings, p platform.Platform) *Daemon {
+func New(s *settings.Settings, p tables.Platform) *Daemon {
 	running, end := context.WithCancel(context.Background())
 	return &Daemon{
 		settings:   s,
--- a/daemon/news.go
+++ b/daemon/news.go
@@ -11,7 +11,7 @@
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/traffic"
 	"pistachioford.example/pistachioford/peer"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 	"pistachioford.example/pistachioford/telemetry"
 	"pistachioford.example/pistachioford/upstream"
 )
@@ -200,7 +200,7 @@
 }
 
 // noteListed takes the signs of the platform's instance list.
-func (d *Daemon) noteListed(instances []platform.Instance) {
+func (d *Daemon) noteListed(instances []tables.Instance) {
 	doc := d.view.Load().Document
 	if doc == nil {
 		return
@@ -208,7 +208,7 @@
 	byAddress := d.polled(doc)
 	for _, i := range instances {
 		target, known := byAddress[i.Address]
-		if known && i.Role == platform.RoleUpstream {
+		if known && i.Role == tables.RoleUpstream {
 			d.sign(doc, target, signListed, i.Leaving, time.Now())
 		}
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"pistachioford.example/core/control"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 	"pistachioford.example/pistachioford/telemetry"
 )
 
@@ -42,15 +42,15 @@
 }
 
 func (d *Daemon) write(a control.Write) {
-	commit := platform.Commit{
+	commit := tables.Commit{
 		Operation:  uuid.NewString(),
-		Conditions: []platform.Condition{{Key: a.Key, Version: a.IfVersion}},
-		Puts:       []platform.Put{{Key: a.Key, Value: a.Value}},
+		Conditions: []tables.Condition{{Key: a.Key, Version: a.IfVersion}},
+		Puts:       []tables.Put{{Key: a.Key, Value: a.Value}},
 	}
 	d.ask(func(ctx context.Context) control.PlatformAnswered {
 		rows, err := d.platform.Commit(ctx, commit)
 		answer := control.PlatformAnswered{ID: a.ID, Err: err}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, tables.ErrConflict) {
 			answer.Conflict = true
 			answer.Err = nil
 		}
@@ -94,8 +94,8 @@
 func (d *Daemon) register() {
 	for pause := registerPause; ; pause = min(2*pause, registerMaxPause) {
 		ctx, cancel := context.WithTimeout(d.running, platformTimeout)
-		err := d.platform.Register(ctx, platform.Instance{
-			ID: d.self.ID, Address: d.peerAt, Operators: d.operatorsAt, Zone: d.self.Zone, Role: platform.RoleEntry,
+		err := d.platform.Register(ctx, tables.Instance{
+			ID: d.self.ID, Address: d.peerAt, Operators: d.operatorsAt, Zone: d.self.Zone, Role: tables.RoleEntry,
 		})
 		cancel()
 		if err == nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,9 +12,9 @@
 
 	"pistachioford.example/pistachioford/daemon"
 	"pistachioford.example/pistachioford/entry"
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
 	"pistachioford.example/pistachioford/settings"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 )
 
 const (
@@ -29,7 +29,7 @@
 	standin *standin.Standin
 	samples []*sample
 	daemons []*daemon.Daemon
-	clients []*platform.Client
+	clients []*tables.Client
 }
 
 // Start starts all parts and waits until requests are served. After an error,
@@ -61,7 +61,7 @@
 }
 
 func (f *Fleet) writeDocument(ctx context.Context) error {
-	client, err := platform.NewClient(platform.Config{URL: f.standin.URL()})
+	client, err := tables.NewClient(tables.Config{URL: f.standin.URL()})
 	if err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 }
 
 func (f *Fleet) startDaemon(region, zone string, peers []string) (*daemon.Daemon, error) {
-	client, err := platform.NewClient(platform.Config{URL: f.standin.URL()})
+	client, err := tables.NewClient(tables.Config{URL: f.standin.URL()})
 	if err != nil {
 		return nil, err
 	}
--- a/operate/blocks.go
+++ b/operate/blocks.go
@@ -16,7 +16,7 @@
 	"pistachioford.example/core/blocks"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/toml"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // uploadAttempts bounds the attempts to store one object. They are safe, since
@@ -153,7 +153,7 @@
 	origin := index.Blocks.Origin
 	var errs toml.List
 	m, err := o.manifest(ctx, next.Blocks)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, tables.ErrNotFound) {
 		errs.Addf(origin.File, origin.Line, "blocks.manifest", "%s is not in the object store; upload it with pistachioctl blocks", next.Blocks)
 		return errs.Err()
 	}
--- a/operate/blocks_test.go
+++ b/operate/blocks_test.go
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 
 	"pistachioford.example/core/blocks"
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 )
 
 const sitesText = `
@@ -123,7 +123,7 @@
 
 // putting is a platform beside which something happens before an object is put.
 type putting struct {
-	platform.Platform
+	tables.Platform
 	before func()
 }
 
--- a/operate/change.go
+++ b/operate/change.go
@@ -7,7 +7,7 @@
 
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // maxAttempts bounds the commits of one change. With 470 changes a day, ten
@@ -72,7 +72,7 @@
 		switch {
 		case err == nil:
 			return &c.result, nil
-		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, tables.ErrUnknown), errors.Is(err, tables.ErrConflict):
 		case c.unknown != nil:
 			return nil, &UnknownError{Operation: c.result.Operation, Err: errors.Join(c.unknown, err)}
 		case request.operation != "" && ExitCode(err) == ExitPlatform:
@@ -125,7 +125,7 @@
 	commit, made := c.commit(s, sections, c.result.Operation)
 	c.result.Attempts++
 	_, err := c.platform.Commit(ctx, commit)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, tables.ErrUnknown) {
 		c.unknown, c.unknownRow = err, s.headRow
 	}
 	if err != nil {
@@ -177,14 +177,14 @@
 }
 
 // commit returns the transaction of a change, and its record.
-func (o *Operator) commit(s *snapshot, changed []document.Section, operation string) (platform.Commit, Record) {
+func (o *Operator) commit(s *snapshot, changed []document.Section, operation string) (tables.Commit, Record) {
 	head := revision.Head{Revision: s.head.Revision + 1}
 	head.Sections = append(head.Sections, s.head.Sections...)
 	record := Record{Revision: head.Revision, Operation: operation, Time: o.now().UTC()}
-	commit := platform.Commit{Operation: operation}
+	commit := tables.Commit{Operation: operation}
 	create := func(key string, value []byte) {
-		commit.Conditions = append(commit.Conditions, platform.Condition{Key: key})
-		commit.Puts = append(commit.Puts, platform.Put{Key: key, Value: value})
+		commit.Conditions = append(commit.Conditions, tables.Condition{Key: key})
+		commit.Puts = append(commit.Puts, tables.Put{Key: key, Value: value})
 	}
 	for _, c := range changed {
 		row := revision.SectionRow{Text: stored(c.Text)}
@@ -202,7 +202,7 @@
 	made := revision.OperationRow{Revision: head.Revision}
 	create(revision.OperationKey(operation), made.Encode())
 	create(recordKey(head.Revision), record.encode())
-	commit.Conditions = append(commit.Conditions, platform.Condition{Key: revision.HeadKey, Version: s.headRow})
-	commit.Puts = append(commit.Puts, platform.Put{Key: revision.HeadKey, Value: head.Encode()})
+	commit.Conditions = append(commit.Conditions, tables.Condition{Key: revision.HeadKey, Version: s.headRow})
+	commit.Puts = append(commit.Puts, tables.Put{Key: revision.HeadKey, Value: head.Encode()})
 	return commit, record
 }
--- a/operate/chaos_test.go
+++ b/operate/chaos_test.go
@@ -9,20 +9,20 @@
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
 
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // chaos is a platform whose calls meet generated faults, and beside which other
 // commits are made.
 type chaos struct {
-	platform.Platform
+	tables.Platform
 	t *rapid.T
 	// delayed are commits that are reported lost and take effect later.
-	delayed []platform.Commit
+	delayed []tables.Commit
 	other   func()
 }
 
-func (c *chaos) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c *chaos) Get(ctx context.Context, keys ...string) ([]tables.Row, error) {
 	c.meanwhile()
 	if rapid.IntRange(0, 9).Draw(c.t, "get") == 0 {
 		return nil, eris.New("down")
@@ -30,19 +30,19 @@
 	return c.Platform.Get(ctx, keys...)
 }
 
-func (c *chaos) Commit(ctx context.Context, commit platform.Commit) ([]platform.Row, error) {
+func (c *chaos) Commit(ctx context.Context, commit tables.Commit) ([]tables.Row, error) {
 	c.meanwhile()
 	switch rapid.SampledFrom([]string{"ok", "ok", "lost", "dropped", "delayed", "refused"}).Draw(c.t, "commit") {
 	case "lost":
-		if _, err := c.Platform.Commit(ctx, commit); errors.Is(err, platform.ErrConflict) {
+		if _, err := c.Platform.Commit(ctx, commit); errors.Is(err, tables.ErrConflict) {
 			return nil, err
 		}
-		return nil, platform.ErrUnknown
+		return nil, tables.ErrUnknown
 	case "dropped":
-		return nil, platform.ErrUnknown
+		return nil, tables.ErrUnknown
 	case "delayed":
 		c.delayed = append(c.delayed, commit)
-		return nil, platform.ErrUnknown
+		return nil, tables.ErrUnknown
 	case "refused":
 		return nil, eris.New("status 429")
 	}
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -9,12 +9,12 @@
 
 	"github.com/google/uuid"
 
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // Operator runs operations against one platform. One goroutine may use it.
 type Operator struct {
-	platform platform.Platform
+	platform tables.Platform
 	// now, sleep and newID are replaced by tests.
 	now   func() time.Time
 	sleep func(context.Context, time.Duration)
@@ -22,7 +22,7 @@
 }
 
 // New returns an Operator.
-func New(p platform.Platform) *Operator {
+func New(p tables.Platform) *Operator {
 	return &Operator{platform: p, now: time.Now, sleep: sleep, newID: newID}
 }
 
--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -15,8 +15,8 @@
 
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 )
 
 var ctx = context.Background()
@@ -84,7 +84,7 @@
 // operator returns one more operator on a stand-in.
 func operator(t *testing.T, s *standin.Standin) *Operator {
 	t.Helper()
-	c, err := platform.NewClient(platform.Config{
+	c, err := tables.NewClient(tables.Config{
 		URL: s.URL(), ReadsPerSecond: -1, WritesPerSecond: -1, Timeout: 5 * time.Second,
 		Sleep: func(context.Context, time.Duration) {},
 	})
@@ -96,7 +96,7 @@
 }
 
 // quick returns an operator without pauses.
-func quick(p platform.Platform) *Operator {
+func quick(p tables.Platform) *Operator {
 	o := New(p)
 	o.sleep = func(context.Context, time.Duration) {}
 	return o
@@ -206,16 +206,16 @@
 
 // failing is a platform whose commits take effect and lose their response.
 type failing struct {
-	platform.Platform
+	tables.Platform
 	after func()
 }
 
-func (f *failing) Commit(ctx context.Context, c platform.Commit) ([]platform.Row, error) {
+func (f *failing) Commit(ctx context.Context, c tables.Commit) ([]tables.Row, error) {
 	if _, err := f.Platform.Commit(ctx, c); err != nil {
 		return nil, err
 	}
 	f.after()
-	return nil, platform.ErrUnknown
+	return nil, tables.ErrUnknown
 }
 
 // Guards against a commit whose loss is still reported as unknown after the
@@ -234,13 +234,13 @@
 
 // racing is a platform that loses a commit on the way while another is made.
 type racing struct {
-	platform.Platform
+	tables.Platform
 	race func()
 }
 
-func (r *racing) Commit(context.Context, platform.Commit) ([]platform.Row, error) {
+func (r *racing) Commit(context.Context, tables.Commit) ([]tables.Row, error) {
 	r.race()
-	return nil, platform.ErrUnknown
+	return nil, tables.ErrUnknown
 }
 
 // Guards against a resumed change that is reported as not made because the
@@ -375,12 +375,12 @@
 		{Instance: "cut", Zone: "cut", Revision: 1, Peers: []reportedPeer{{Zone: "a", Unreachable: true}}},
 	}
 	for _, r := range reports {
-		is.NoErr(o.platform.Register(ctx, platform.Instance{
-			ID: r.Instance, Zone: r.Zone, Role: platform.RoleEntry, Operators: serve(t, r),
+		is.NoErr(o.platform.Register(ctx, tables.Instance{
+			ID: r.Instance, Zone: r.Zone, Role: tables.RoleEntry, Operators: serve(t, r),
 		}))
 	}
-	is.NoErr(o.platform.Register(ctx, platform.Instance{ID: "silent", Zone: "z", Role: platform.RoleEntry, Operators: "127.0.0.1:1"}))
-	is.NoErr(o.platform.Register(ctx, platform.Instance{ID: "upstream", Zone: "z", Role: platform.RoleUpstream}))
+	is.NoErr(o.platform.Register(ctx, tables.Instance{ID: "silent", Zone: "z", Role: tables.RoleEntry, Operators: "127.0.0.1:1"}))
+	is.NoErr(o.platform.Register(ctx, tables.Instance{ID: "upstream", Zone: "z", Role: tables.RoleUpstream}))
 	status, err := o.Status(ctx, nil)
 	is.NoErr(err)
 	got := map[string]State{}
--- a/operate/snapshot.go
+++ b/operate/snapshot.go
@@ -7,7 +7,7 @@
 
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // snapshot is the document as of one read of its head.
@@ -72,7 +72,7 @@
 }
 
 // sectionText decodes the row of a section; an empty hash is not checked.
-func sectionText(row platform.Row, hash string) (string, error) {
+func sectionText(row tables.Row, hash string) (string, error) {
 	if row.Version == 0 {
 		return "", eris.Errorf("step=read-section: row %s is missing", row.Key)
 	}
--- a/operate/status.go
+++ b/operate/status.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // Limits of a status query.
@@ -91,7 +91,7 @@
 
 // asked is one instance with its answer.
 type asked struct {
-	platform.Instance
+	tables.Instance
 	answer *reported
 	err    error
 }
@@ -121,23 +121,23 @@
 }
 
 // given returns instances of which only the operators' address is known.
-func given(addresses []string) []platform.Instance {
-	instances := make([]platform.Instance, len(addresses))
+func given(addresses []string) []tables.Instance {
+	instances := make([]tables.Instance, len(addresses))
 	for i, a := range addresses {
-		instances[i] = platform.Instance{ID: a, Operators: a}
+		instances[i] = tables.Instance{ID: a, Operators: a}
 	}
 	return instances
 }
 
 // listed returns the entry instances of the platform's list.
-func (o *Operator) listed(ctx context.Context) ([]platform.Instance, error) {
+func (o *Operator) listed(ctx context.Context) ([]tables.Instance, error) {
 	all, err := o.platform.ListInstances(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var entries []platform.Instance
+	var entries []tables.Instance
 	for _, i := range all {
-		if i.Role == platform.RoleEntry {
+		if i.Role == tables.RoleEntry {
 			entries = append(entries, i)
 		}
 	}
@@ -145,7 +145,7 @@
 }
 
 // ask queries the operators' port of each instance.
-func ask(ctx context.Context, instances []platform.Instance) []asked {
+func ask(ctx context.Context, instances []tables.Instance) []asked {
 	answers := make([]asked, len(instances))
 	workers := pool.New().WithMaxGoroutines(statusConcurrency)
 	for i, instance := range instances {
--- a/scenario/fleet/fault.go
+++ b/scenario/fleet/fault.go
@@ -7,7 +7,7 @@
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // fault is a deliberately broken rule, named by the check that finds it. The
@@ -60,7 +60,7 @@
 }
 
 // value returns what an instance reads of a row.
-func (f fault) value(s *store, in *instance, row platform.Row) []byte {
+func (f fault) value(s *store, in *instance, row tables.Row) []byte {
 	if f == faultRevert && row.Key == revision.HeadKey && in.startedAt.After(epoch) {
 		return s.first
 	}
@@ -68,7 +68,7 @@
 }
 
 // commit returns what the store gets of a commit of an editor.
-func (f fault) commit(r *remote, c platform.Commit) platform.Commit {
+func (f fault) commit(r *remote, c tables.Commit) tables.Commit {
 	if f == faultContents || f == faultLost {
 		r.wait(func(resume func()) {
 			r.store.w.after(time.Duration(r.edit.number-1)*blindDelay, resume)
--- a/scenario/fleet/store.go
+++ b/scenario/fleet/store.go
@@ -7,7 +7,7 @@
 
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 const (
@@ -24,7 +24,7 @@
 // store is the platform: table service and instance list.
 type store struct {
 	w    *world
-	rows map[string]platform.Row
+	rows map[string]tables.Row
 	down bool
 	slow time.Duration
 	// lose is the share of calls that take effect without an answer.
@@ -59,8 +59,8 @@
 	})
 }
 
-func (s *store) get(keys []string) []platform.Row {
-	rows := make([]platform.Row, len(keys))
+func (s *store) get(keys []string) []tables.Row {
+	rows := make([]tables.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = s.rows[key]
 		rows[i].Key = key
@@ -69,17 +69,17 @@
 }
 
 // commit applies all puts if all conditions hold.
-func (s *store) commit(c platform.Commit) ([]platform.Row, bool) {
+func (s *store) commit(c tables.Commit) ([]tables.Row, bool) {
 	for _, condition := range c.Conditions {
 		if s.rows[condition.Key].Version != condition.Version {
 			return nil, false
 		}
 	}
-	var written []platform.Row
+	var written []tables.Row
 	for _, put := range c.Puts {
-		row := platform.Row{Key: put.Key, Version: s.rows[put.Key].Version + 1, Value: put.Value}
+		row := tables.Row{Key: put.Key, Version: s.rows[put.Key].Version + 1, Value: put.Value}
 		s.rows[put.Key] = row
-		written = append(written, platform.Row{Key: row.Key, Version: row.Version})
+		written = append(written, tables.Row{Key: row.Key, Version: row.Version})
 		if put.Key == revision.HeadKey {
 			if head, err := revision.DecodeHead(put.Value); err == nil {
 				s.w.awaitActive(head.Revision)
@@ -117,9 +117,9 @@
 
 func (s *store) write(in *instance, a control.Write) {
 	s.ask(in, a.ID, func() control.PlatformAnswered {
-		rows, ok := s.commit(platform.Commit{
-			Conditions: []platform.Condition{{Key: a.Key, Version: a.IfVersion}},
-			Puts:       []platform.Put{{Key: a.Key, Value: a.Value}},
+		rows, ok := s.commit(tables.Commit{
+			Conditions: []tables.Condition{{Key: a.Key, Version: a.IfVersion}},
+			Puts:       []tables.Put{{Key: a.Key, Value: a.Value}},
 		})
 		if !ok {
 			return control.PlatformAnswered{Conflict: true}
@@ -135,7 +135,7 @@
 			gone := other.dead && s.w.now.Sub(other.endedAt) >= listLag
 			if !gone && s.w.now.Sub(other.startedAt) >= listLag {
 				list = append(list, control.Listed{
-					ID: other.id, Address: other.address, Zone: s.w.doc.Zones[other.zone].Name, Role: platform.RoleEntry,
+					ID: other.id, Address: other.address, Zone: s.w.doc.Zones[other.zone].Name, Role: tables.RoleEntry,
 				})
 			}
 		}
@@ -146,7 +146,7 @@
 // remote is the platform as an editor sees it; its calls take virtual time. The
 // parts that an edit does not use are left out.
 type remote struct {
-	platform.Platform
+	tables.Platform
 	store *store
 	edit  *edit
 	// wait returns false when the run is over.
@@ -169,14 +169,14 @@
 }
 
 // Get reads rows.
-func (r *remote) Get(_ context.Context, keys ...string) (rows []platform.Row, err error) {
+func (r *remote) Get(_ context.Context, keys ...string) (rows []tables.Row, err error) {
 	err = r.call(func() { rows = r.store.get(keys) })
 	return rows, err
 }
 
 // Commit writes rows once, whatever the number of attempts; a commit without an
 // answer may have taken effect.
-func (r *remote) Commit(_ context.Context, c platform.Commit) (rows []platform.Row, err error) {
+func (r *remote) Commit(_ context.Context, c tables.Commit) (rows []tables.Row, err error) {
 	c = r.store.w.settings.fault.commit(r, c)
 	tried, ok := false, false
 	err = r.call(func() {
@@ -187,9 +187,9 @@
 	})
 	switch {
 	case err != nil:
-		return nil, platform.ErrUnknown
+		return nil, tables.ErrUnknown
 	case !ok:
-		return nil, platform.ErrConflict
+		return nil, tables.ErrConflict
 	}
 	return rows, nil
 }
--- a/scenario/fleet/world.go
+++ b/scenario/fleet/world.go
@@ -11,8 +11,8 @@
 	"pistachioford.example/core/control"
 	"pistachioford.example/core/document"
 	"pistachioford.example/core/revision"
-	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/scenario"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // observeInterval is the resolution of the measures.
@@ -97,7 +97,7 @@
 		compiled: map[string]*document.Compiled{}, texts: map[*document.Compiled]string{}, unheld: map[document.ShardID]bool{},
 	}
 	w.network = newNetwork(&w.clock, w.random, doc, scenario.NewPlatform(s.user))
-	w.store = &store{w: w, rows: map[string]platform.Row{}}
+	w.store = &store{w: w, rows: map[string]tables.Row{}}
 	w.judge = newJudge(w)
 	w.putFirst()
 	for i := range s.instances {
@@ -110,16 +110,16 @@
 // putFirst stores revision 1.
 func (w *world) putFirst() {
 	head := revision.Head{Revision: 1}
-	var c platform.Commit
+	var c tables.Commit
 	for _, s := range w.settings.sections {
 		head.Sections = append(head.Sections, revision.HeadSection{
 			Name: s.Name, Version: 1, Hash: revision.ContentHash([]byte(s.Text)), Team: s.Team,
 		})
 		row := revision.SectionRow{Text: s.Text}
-		c.Puts = append(c.Puts, platform.Put{Key: revision.SectionKey(s.Name, 1), Value: row.Encode()})
+		c.Puts = append(c.Puts, tables.Put{Key: revision.SectionKey(s.Name, 1), Value: row.Encode()})
 	}
 	w.store.first = head.Encode()
-	c.Puts = append(c.Puts, platform.Put{Key: revision.HeadKey, Value: w.store.first})
+	c.Puts = append(c.Puts, tables.Put{Key: revision.HeadKey, Value: w.store.first})
 	w.store.commit(c)
 }
 
--- a/platform/client.go
+++ b/tables/client.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/tables/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tables_test
 
 import (
 	"context"
@@ -9,14 +9,14 @@
 
 	"github.com/matryer/is"
 
-	"pistachioford.example/pistachioford/platform"
-	"pistachioford.example/pistachioford/platform/standin"
+	"pistachioford.example/pistachioford/tables"
+	"pistachioford.example/pistachioford/tables/standin"
 )
 
 var ctx = context.Background()
 
 // start returns a stand-in and a client without pauses between attempts.
-func start(t *testing.T, options standin.Options, config platform.Config) (*standin.Standin, *platform.Client) {
+func start(t *testing.T, options standin.Options, config tables.Config) (*standin.Standin, *tables.Client) {
 	t.Helper()
 	s, err := standin.Start(options)
 	if err != nil {
@@ -24,7 +24,7 @@
 	}
 	config.URL = s.URL()
 	config.Sleep = func(context.Context, time.Duration) {}
-	c, err := platform.NewClient(config)
+	c, err := tables.NewClient(config)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,30 +37,30 @@
 	return s, c
 }
 
-func put(operation, key, value string, version uint64) platform.Commit {
-	return platform.Commit{
+func put(operation, key, value string, version uint64) tables.Commit {
+	return tables.Commit{
 		Operation:  operation,
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(value)}},
+		Conditions: []tables.Condition{{Key: key, Version: version}},
+		Puts:       []tables.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
 // Guards against a transaction that ignores a condition or is applied in part.
 func TestCommitIsConditional(t *testing.T) {
 	is := is.New(t)
-	_, c := start(t, standin.Options{}, platform.Config{})
+	_, c := start(t, standin.Options{}, tables.Config{})
 	rows, err := c.Commit(ctx, put("1", "a/x", "one", 0))
 	is.NoErr(err)
-	is.Equal(rows, []platform.Row{{Key: "a/x", Version: 1}})
+	is.Equal(rows, []tables.Row{{Key: "a/x", Version: 1}})
 
 	both := put("2", "a/x", "two", 0)
-	both.Puts = append(both.Puts, platform.Put{Key: "a/y"})
+	both.Puts = append(both.Puts, tables.Put{Key: "a/y"})
 	_, err = c.Commit(ctx, both)
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, tables.ErrConflict))
 
 	got, err := c.Get(ctx, "a/y", "a/x")
 	is.NoErr(err)
-	is.Equal(got, []platform.Row{{Key: "a/y"}, {Key: "a/x", Version: 1, Value: []byte("one")}})
+	is.Equal(got, []tables.Row{{Key: "a/y"}, {Key: "a/x", Version: 1, Value: []byte("one")}})
 	_, err = c.Commit(ctx, put("3", "b", "", 0))
 	is.NoErr(err)
 	listed, err := c.List(ctx, "a/")
@@ -72,7 +72,7 @@
 // it took effect, when its response is lost.
 func TestLostResponse(t *testing.T) {
 	is := is.New(t)
-	s, c := start(t, standin.Options{}, platform.Config{})
+	s, c := start(t, standin.Options{}, tables.Config{})
 	s.SetFaults(standin.Faults{LoseResponses: 2})
 	rows, err := c.Commit(ctx, put("1", "x", "one", 0))
 	is.NoErr(err) // the third attempt gets the result of the first
@@ -80,10 +80,10 @@
 
 	s.SetFaults(standin.Faults{LoseResponses: -1})
 	_, err = c.Commit(ctx, put("2", "x", "two", 1))
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, tables.ErrUnknown))
 	before := s.Counts().Writes
 	_, err = c.Commit(ctx, put("", "x", "three", 2))
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, tables.ErrUnknown))
 	is.Equal(s.Counts().Writes, before+1) // without an operation id it is not resent
 	is.True(strings.Contains(err.Error(), "step=commit peer="+strings.TrimPrefix(s.URL(), "http://")))
 	got, err := c.Get(ctx, "x")
@@ -98,19 +98,19 @@
 		name   string
 		faults standin.Faults
 		limit  float64
-		call   func(c *platform.Client) error
+		call   func(c *tables.Client) error
 		reads  uint64
 		writes uint64
 	}{
 		{"slow read", standin.Faults{Delay: 200 * time.Millisecond}, 0, getX, 3, 0},
-		{"slow object", standin.Faults{Delay: 200 * time.Millisecond}, 0, func(c *platform.Client) error {
+		{"slow object", standin.Faults{Delay: 200 * time.Millisecond}, 0, func(c *tables.Client) error {
 			_, err := c.GetObject(ctx, "x")
 			return err
 		}, 3, 0},
-		{"lost object", standin.Faults{LoseResponses: -1}, 0, func(c *platform.Client) error {
+		{"lost object", standin.Faults{LoseResponses: -1}, 0, func(c *tables.Client) error {
 			return c.PutObject(ctx, "x", nil)
 		}, 0, 1},
-		{"limited", standin.Faults{}, 0.001, func(c *platform.Client) error {
+		{"limited", standin.Faults{}, 0.001, func(c *tables.Client) error {
 			return errors.Join(getX(c), getX(c))
 		}, 4, 0},
 		{"down", standin.Faults{Down: true}, 0, getX, 0, 0},
@@ -118,7 +118,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			s, c := start(t, standin.Options{ReadsPerSecond: test.limit}, platform.Config{Timeout: 50 * time.Millisecond})
+			s, c := start(t, standin.Options{ReadsPerSecond: test.limit}, tables.Config{Timeout: 50 * time.Millisecond})
 			s.SetFaults(test.faults)
 			began := time.Now()
 			is.True(test.call(c) != nil)
@@ -144,7 +144,7 @@
 	return s.Counts()
 }
 
-func getX(c *platform.Client) error {
+func getX(c *tables.Client) error {
 	_, err := c.Get(ctx, "x")
 	return err
 }
@@ -153,13 +153,13 @@
 // to an overload of the platform by 480 instances.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
-	s, c := start(t, standin.Options{}, platform.Config{ReadsPerSecond: 0.001, WritesPerSecond: 0.001, Burst: 4, Retries: -1})
+	s, c := start(t, standin.Options{}, tables.Config{ReadsPerSecond: 0.001, WritesPerSecond: 0.001, Burst: 4, Retries: -1})
 	for range 10 {
 		_, _ = c.Get(ctx, "x")
 		_, _ = c.Commit(ctx, put("", "x", "", 0))
 	}
 	_, err := c.Get(ctx, "x")
-	is.True(errors.Is(err, platform.ErrBudget))
+	is.True(errors.Is(err, tables.ErrBudget))
 	is.Equal(s.Counts(), standin.Counts{Reads: 4, Writes: 4})
 }
 
@@ -167,33 +167,33 @@
 // would make an operator look for an effect that cannot exist.
 func TestRefusedIsNotUnknown(t *testing.T) {
 	is := is.New(t)
-	s, c := start(t, standin.Options{WritesPerSecond: 0.001}, platform.Config{})
+	s, c := start(t, standin.Options{WritesPerSecond: 0.001}, tables.Config{})
 	_, err := c.Commit(ctx, put("1", "x", "", 0))
 	is.NoErr(err)
 	_, err = c.Commit(ctx, put("2", "x", "", 1))
-	is.True(err != nil && !errors.Is(err, platform.ErrUnknown))
+	is.True(err != nil && !errors.Is(err, tables.ErrUnknown))
 	is.Equal(s.Counts().Limited, uint64(3))
 
-	closed, err := platform.NewClient(platform.Config{URL: "http://127.0.0.1:1"})
+	closed, err := tables.NewClient(tables.Config{URL: "http://127.0.0.1:1"})
 	is.NoErr(err)
 	_, err = closed.Commit(ctx, put("1", "x", "", 0))
-	is.True(err != nil && !errors.Is(err, platform.ErrUnknown))
+	is.True(err != nil && !errors.Is(err, tables.ErrUnknown))
 }
 
 // Guards against faults of one instance that hit others, and objects or
 // instances that get lost.
 func TestObjectsAndInstances(t *testing.T) {
 	is := is.New(t)
-	s, c := start(t, standin.Options{ListLag: 100 * time.Millisecond}, platform.Config{Instance: "a"})
+	s, c := start(t, standin.Options{ListLag: 100 * time.Millisecond}, tables.Config{Instance: "a"})
 	s.SetInstanceFaults("b", standin.Faults{Down: true})
 	is.NoErr(c.PutObject(ctx, "blocks/1", []byte("data")))
 	data, err := c.GetObject(ctx, "blocks/1")
 	is.NoErr(err)
 	is.Equal(string(data), "data")
 	_, err = c.GetObject(ctx, "blocks/2")
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, tables.ErrNotFound))
 
-	entry := platform.Instance{ID: "a", Address: "10.0.0.1:1", Zone: "z", Role: platform.RoleEntry}
+	entry := tables.Instance{ID: "a", Address: "10.0.0.1:1", Zone: "z", Role: tables.RoleEntry}
 	is.NoErr(c.Register(ctx, entry))
 	is.NoErr(c.Leave(ctx, "a"))
 	listed, err := c.ListInstances(ctx)
@@ -203,7 +203,7 @@
 	listed, err = c.ListInstances(ctx)
 	is.NoErr(err)
 	entry.Leaving = true
-	is.Equal(listed, []platform.Instance{entry})
+	is.Equal(listed, []tables.Instance{entry})
 
 	s.SetInstanceFaults("a", standin.Faults{Down: true})
 	_, err = c.ListInstances(ctx)
@@ -213,7 +213,7 @@
 // Guards against settings that would send calls to a wrong place.
 func TestNewClientRefusesURL(t *testing.T) {
 	for _, url := range []string{"", "10.0.0.1:80", "ftp://a", "http://", "http://a/path"} {
-		_, err := platform.NewClient(platform.Config{URL: url})
+		_, err := tables.NewClient(tables.Config{URL: url})
 		is.New(t).True(err != nil)
 	}
 }
--- a/platform/standin/server.go
+++ b/tables/standin/server.go
@@ -6,24 +6,24 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // route sets up the handlers; reads and writes meet different faults.
 func (s *Standin) route() {
-	s.app.Post(platform.PathGet, s.read(s.get))
-	s.app.Post(platform.PathList, s.read(s.list))
-	s.app.Post(platform.PathInstances, s.read(s.listInstances))
-	s.app.Get(platform.PathObjects+"*", s.read(s.getObject))
-	s.app.Post(platform.PathCommit, s.write(s.commit))
-	s.app.Put(platform.PathObjects+"*", s.write(s.putObject))
-	s.app.Post(platform.PathRegister, s.write(s.register))
-	s.app.Post(platform.PathLeave, s.write(s.leave))
+	s.app.Post(tables.PathGet, s.read(s.get))
+	s.app.Post(tables.PathList, s.read(s.list))
+	s.app.Post(tables.PathInstances, s.read(s.listInstances))
+	s.app.Get(tables.PathObjects+"*", s.read(s.getObject))
+	s.app.Post(tables.PathCommit, s.write(s.commit))
+	s.app.Put(tables.PathObjects+"*", s.write(s.putObject))
+	s.app.Post(tables.PathRegister, s.write(s.register))
+	s.app.Post(tables.PathLeave, s.write(s.leave))
 }
 
 func (s *Standin) read(handler fiber.Handler) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		f := s.met(c.Get(platform.HeaderInstance), false)
+		f := s.met(c.Get(tables.HeaderInstance), false)
 		if f.Down {
 			return drop(c)
 		}
@@ -38,7 +38,7 @@
 
 func (s *Standin) write(handler fiber.Handler) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		instance := c.Get(platform.HeaderInstance)
+		instance := c.Get(tables.HeaderInstance)
 		f := s.met(instance, true)
 		if f.Down {
 			return drop(c)
@@ -66,23 +66,23 @@
 }
 
 func (s *Standin) get(c *fiber.Ctx) error {
-	var request platform.GetRequest
+	var request tables.GetRequest
 	if err := c.BodyParser(&request); err != nil {
 		return fiber.ErrBadRequest
 	}
-	return c.JSON(platform.RowsResponse{Rows: s.store.get(request.Keys)})
+	return c.JSON(tables.RowsResponse{Rows: s.store.get(request.Keys)})
 }
 
 func (s *Standin) list(c *fiber.Ctx) error {
-	var request platform.ListRequest
+	var request tables.ListRequest
 	if err := c.BodyParser(&request); err != nil {
 		return fiber.ErrBadRequest
 	}
-	return c.JSON(platform.RowsResponse{Rows: s.store.list(request.Prefix)})
+	return c.JSON(tables.RowsResponse{Rows: s.store.list(request.Prefix)})
 }
 
 func (s *Standin) commit(c *fiber.Ctx) error {
-	var request platform.Commit
+	var request tables.Commit
 	if err := c.BodyParser(&request); err != nil {
 		return fiber.ErrBadRequest
 	}
@@ -90,7 +90,7 @@
 	if !ok {
 		return fiber.ErrConflict
 	}
-	return c.JSON(platform.RowsResponse{Rows: rows})
+	return c.JSON(tables.RowsResponse{Rows: rows})
 }
 
 func (s *Standin) getObject(c *fiber.Ctx) error {
@@ -107,11 +107,11 @@
 }
 
 func (s *Standin) listInstances(c *fiber.Ctx) error {
-	return c.JSON(platform.InstancesResponse{Instances: s.store.listInstances(time.Now())})
+	return c.JSON(tables.InstancesResponse{Instances: s.store.listInstances(time.Now())})
 }
 
 func (s *Standin) register(c *fiber.Ctx) error {
-	var instance platform.Instance
+	var instance tables.Instance
 	if err := c.BodyParser(&instance); err != nil || instance.ID == "" {
 		return fiber.ErrBadRequest
 	}
@@ -120,10 +120,10 @@
 }
 
 func (s *Standin) leave(c *fiber.Ctx) error {
-	var request platform.LeaveRequest
+	var request tables.LeaveRequest
 	if err := c.BodyParser(&request); err != nil {
 		return fiber.ErrBadRequest
 	}
-	s.store.change(change{at: time.Now(), instance: platform.Instance{ID: request.ID}, leave: true})
+	s.store.change(change{at: time.Now(), instance: tables.Instance{ID: request.ID}, leave: true})
 	return c.JSON(struct{}{})
 }
--- a/platform/standin/standin.go
+++ b/tables/standin/standin.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // Options configure a Standin.
@@ -74,7 +74,7 @@
 		served:         make(chan error, 1),
 		instanceFaults: map[string]Faults{},
 	}
-	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: platform.MaxBodyBytes, Immutable: true})
+	s.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: tables.MaxBodyBytes, Immutable: true})
 	s.route()
 	go func() { s.served <- s.app.Listener(listener) }()
 	return s, nil
@@ -88,7 +88,7 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
-// URL returns the base URL for platform.Config.
+// URL returns the base URL for tables.Config.
 func (s *Standin) URL() string { return s.url }
 
 // SetFaults replaces the faults.
--- a/platform/standin/store.go
+++ b/tables/standin/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/tables"
 )
 
 // rememberedOperations bounds the memory for operation ids; the oldest is
@@ -16,11 +16,11 @@
 // store is the state of the platform. It is safe for concurrent use.
 type store struct {
 	mu         sync.Mutex
-	rows       map[string]platform.Row
-	operations map[string][]platform.Row
+	rows       map[string]tables.Row
+	operations map[string][]tables.Row
 	order      []string // of operations
 	objects    map[string][]byte
-	instances  map[string]platform.Instance
+	instances  map[string]tables.Instance
 	// pending are changes of instances that the list does not show yet.
 	pending []change
 	lag     time.Duration
@@ -29,25 +29,25 @@
 // change is a change of the instance list.
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance tables.Instance
 	// leave changes only the mark of a listed instance.
 	leave bool
 }
 
 func newStore(lag time.Duration) *store {
 	return &store{
-		rows:       map[string]platform.Row{},
-		operations: map[string][]platform.Row{},
+		rows:       map[string]tables.Row{},
+		operations: map[string][]tables.Row{},
 		objects:    map[string][]byte{},
-		instances:  map[string]platform.Instance{},
+		instances:  map[string]tables.Instance{},
 		lag:        lag,
 	}
 }
 
-func (s *store) get(keys []string) []platform.Row {
+func (s *store) get(keys []string) []tables.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := make([]platform.Row, len(keys))
+	rows := make([]tables.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = s.rows[key]
 		rows[i].Key = key
@@ -55,10 +55,10 @@
 	return rows
 }
 
-func (s *store) list(prefix string) []platform.Row {
+func (s *store) list(prefix string) []tables.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []tables.Row{}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -69,7 +69,7 @@
 }
 
 // commit returns false if a condition does not hold.
-func (s *store) commit(c platform.Commit) ([]platform.Row, bool) {
+func (s *store) commit(c tables.Commit) ([]tables.Row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if rows, ok := s.operations[c.Operation]; ok {
@@ -80,11 +80,11 @@
 			return nil, false
 		}
 	}
-	written := make([]platform.Row, 0, len(c.Puts))
+	written := make([]tables.Row, 0, len(c.Puts))
 	for _, put := range c.Puts {
-		row := platform.Row{Key: put.Key, Version: s.rows[put.Key].Version + 1, Value: put.Value}
+		row := tables.Row{Key: put.Key, Version: s.rows[put.Key].Version + 1, Value: put.Value}
 		s.rows[put.Key] = row
-		written = append(written, platform.Row{Key: row.Key, Version: row.Version})
+		written = append(written, tables.Row{Key: row.Key, Version: row.Version})
 	}
 	if c.Operation != "" {
 		s.remember(c.Operation, written)
@@ -92,7 +92,7 @@
 	return written, true
 }
 
-func (s *store) remember(operation string, rows []platform.Row) {
+func (s *store) remember(operation string, rows []tables.Row) {
 	if len(s.order) == rememberedOperations {
 		delete(s.operations, s.order[0])
 		s.order = s.order[1:]
@@ -121,14 +121,14 @@
 }
 
 // listInstances returns the list as it was the lag ago.
-func (s *store) listInstances(now time.Time) []platform.Instance {
+func (s *store) listInstances(now time.Time) []tables.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.pending) > 0 && now.Sub(s.pending[0].at) >= s.lag {
 		s.show(s.pending[0])
 		s.pending = s.pending[1:]
 	}
-	list := make([]platform.Instance, 0, len(s.instances))
+	list := make([]tables.Instance, 0, len(s.instances))
 	for _, i := range s.instances {
 		list = append(list, i)
 	}
--- a/platform/platform.go
+++ b/tables/tables.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system uses of the platform (a
+// Package tables defines what the system uses of the platform (a
 // transactional table service, an object store and an instance list) and an
 // HTTP client for it.
-package platform
+package tables
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/tables/wire.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // The HTTP protocol of the platform. Bodies are JSON but for objects, which
 // are plain bytes. See README.md.
