Serve the users' platform: adapter, decision core and gateway, whole path

platform/ translates settings, headers, document, registry and store calls; core/steer decides, core/presence knows live instances, gateway/ does the I/O.

--- /dev/null
+++ b/cmd/pistachioford/gateway.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"pistachioford.example/pistachioford/gateway"
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
+)
+
+// runGateway serves on the users' platform until SIGTERM.
+func runGateway() int {
+	path := os.Getenv(platform.NodeFileVariable)
+	if path == "" {
+		fmt.Fprintf(os.Stderr, "%s must name the settings file of the platform\n", platform.NodeFileVariable)
+		return exitSettings
+	}
+	node, err := platform.LoadNode(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	log := telemetry.NewWriter(os.Stdout)
+	defer log.Close()
+	telemetry.LogTo(log, telemetry.LevelInfo)
+	g := gateway.New(node)
+	defer g.Cleanup()
+	if err := g.Provision(); err != nil {
+		return fail("provision", err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	g.Start()
+	for {
+		select {
+		case <-stop:
+			g.Leave()
+			return exitOK
+		case <-reload:
+			reloadNode(path)
+		}
+	}
+}
+
+// reloadNode checks the settings file again. What a running instance uses of
+// it (addresses, zone, bounds) belongs to the machine and stays for one start.
+func reloadNode(path string) {
+	if _, err := platform.LoadNode(path); err != nil {
+		telemetry.Failure("reload", err, telemetry.F("file", path))
+		return
+	}
+	telemetry.Event("reload", telemetry.F("file", path), telemetry.F("outcome", "checked"))
+}
--- a/cmd/pistachioford/main.go
+++ b/cmd/pistachioford/main.go
@@ -27,6 +27,7 @@
 type commands struct {
 	parser                     *flaggy.Parser
 	run, check, demo, platform *flaggy.Subcommand
+	gateway                    *flaggy.Subcommand
 	runFile, checkFile         string
 	listen                     string
 }
@@ -39,6 +40,8 @@
 	c.run = c.subcommand("run", "run one instance until SIGTERM")
 	c.run.String(&c.runFile, "s", "settings", "settings file")
 
+	c.gateway = c.subcommand("gateway", "run one instance on the users' platform until SIGTERM")
+
 	c.check = c.subcommand("check-settings", "check a settings file")
 	c.check.AddPositionalValue(&c.checkFile, "FILE", 1, true, "settings file")
 
@@ -65,6 +68,8 @@
 	switch {
 	case c.run.Used:
 		return runDaemon(c.runFile)
+	case c.gateway.Used:
+		return runGateway()
 	case c.check.Used:
 		return checkSettings(c.checkFile)
 	case c.demo.Used:
--- /dev/null
+++ b/core/steer/retry.go
@@ -0,0 +1,73 @@
+package steer
+
+import "time"
+
+// Repeats are bounded over all instances together: a part of the requests of a
+// service plus a fixed number in a window. The part is kept by each instance
+// for its own requests; the fixed number is divided among the instances that
+// may exist, since a count that all share would come too late.
+type RetryRule struct {
+	// Ratio is the allowed repeats per request.
+	Ratio float64
+	// Extra is the number that all instances may add in a Window.
+	Extra  float64
+	Window time.Duration
+}
+
+const (
+	// ratioPart leaves room for requests that change their instance between
+	// two windows.
+	ratioPart = 0.75
+	// extraPart leaves room for instances that restart with a full budget and
+	// for those that this instance does not know.
+	extraPart = 0.5
+	// fewestInstances is assumed while this instance knows few others.
+	fewestInstances = 8
+)
+
+// budget is the repeats that one instance may still make for one service.
+type budget struct {
+	tokens float64
+	at     time.Time
+}
+
+func (e *Engine) budgetOf(service string) *budget {
+	b := e.budgets[service]
+	if b == nil {
+		b = &budget{tokens: 1}
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// extraShare is this instance's part of the fixed number.
+func (e *Engine) extraShare() float64 {
+	return e.retry.Extra * extraPart / float64(max(len(e.peers)+1, fewestInstances))
+}
+
+func (e *Engine) refillBudget(now time.Time, b *budget) {
+	share := e.extraShare()
+	most := max(share/2, 1) + 2
+	if !b.at.IsZero() {
+		b.tokens += share / 2 * now.Sub(b.at).Seconds() / e.retry.Window.Seconds()
+	}
+	b.at = now
+	b.tokens = min(b.tokens, most)
+}
+
+func (e *Engine) countFirst(now time.Time, service string) {
+	b := e.budgetOf(service)
+	e.refillBudget(now, b)
+	b.tokens += e.retry.Ratio * ratioPart
+}
+
+// takeRepeat charges one repeat, if the budget has one left.
+func (e *Engine) takeRepeat(now time.Time, service string) bool {
+	b := e.budgetOf(service)
+	e.refillBudget(now, b)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioford.example/core/presence"
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
+)
+
+const (
+	// memberPeriod is how often the rows of all instances are read, to learn of
+	// those that started; heartbeats then tell who is alive.
+	memberPeriod = 5 * time.Second
+	// memberStart is the period just after the start, while others start too.
+	memberStart = time.Second
+	// memberStarting is how long an instance counts as just started.
+	memberStarting = 6 * time.Second
+	// datagramBytes bounds a heartbeat.
+	datagramBytes = 8 << 10
+)
+
+// peerAddress is where heartbeats are received.
+func peerAddress(node *platform.Node) string {
+	return net.JoinHostPort(node.Address, strconv.Itoa(node.PeerPort))
+}
+
+// heartbeat is the message between instances.
+type heartbeat struct {
+	Own    presence.Beat   `json:"own"`
+	Others []presence.Beat `json:"others,omitempty"`
+}
+
+// peers sends and receives heartbeats. It is safe for concurrent use.
+type peers struct {
+	mu    sync.Mutex
+	table *presence.Table
+	conn  *net.UDPConn
+}
+
+func newPeers(self presence.Beat) *peers {
+	return &peers{table: presence.New(self, uint64(self.Boot))}
+}
+
+func (p *peers) listen() error {
+	address, err := net.ResolveUDPAddr("udp4", p.table.Self().Peers)
+	if err != nil {
+		return eris.Wrapf(err, "step=listen_peers peer=%s", p.table.Self().Peers)
+	}
+	p.conn, err = net.ListenUDP("udp4", address)
+	return eris.Wrapf(err, "step=listen_peers peer=%s", address)
+}
+
+func (p *peers) close() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
+}
+
+// send sends one heartbeat.
+func (p *peers) send(now time.Time, ready, leaving bool) {
+	p.mu.Lock()
+	p.table.SetState(ready, leaving)
+	own, others, to := p.table.Next(now)
+	p.mu.Unlock()
+	message, err := json.Marshal(heartbeat{Own: own, Others: others})
+	if err != nil {
+		telemetry.Failure("encode_heartbeat", err)
+		return
+	}
+	for _, address := range to {
+		peer, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = p.conn.WriteToUDP(message, peer)
+		}
+		if err != nil {
+			telemetry.Debug("heartbeat_not_sent", telemetry.F("peer", address), telemetry.F("error", err))
+		}
+	}
+}
+
+// receive calls hear with each heartbeat until the socket is closed.
+func (p *peers) receive(hear func(heartbeat)) {
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, from, err := p.conn.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		var message heartbeat
+		if err := json.Unmarshal(buffer[:n], &message); err != nil {
+			telemetry.Event("heartbeat_refused", telemetry.F("peer", from), telemetry.F("error", err))
+			continue
+		}
+		hear(message)
+	}
+}
+
+// hear takes in a heartbeat.
+func (g *Gateway) hear(message heartbeat) {
+	now := time.Now()
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	for _, beat := range append(message.Others, message.Own) {
+		if g.peers.table.Hear(now, beat) {
+			telemetry.Event("instance_live", telemetry.F("instance", beat.Name), telemetry.F("zone", beat.Zone))
+		}
+	}
+}
+
+func (p *peers) live(now time.Time) []presence.Beat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Live(now)
+}
+
+// beat sends a heartbeat and tells the engine who is alive.
+func (g *Gateway) beat() {
+	now := time.Now()
+	g.peers.send(now, g.ready(), g.leaving.Load())
+	live := g.peers.live(now)
+	names := make([]string, len(live))
+	for i, beat := range live {
+		names[i] = beat.Name
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engine.SetPeers(names)
+}
+
+// keepMembership writes the own row, reads those of others and sends
+// heartbeats.
+func (g *Gateway) keepMembership() {
+	g.group.Go(g.sendBeats)
+	started := time.Now()
+	written := false
+	for g.ctx.Err() == nil {
+		if !written && !g.leaving.Load() {
+			err := g.client.WriteMember(g.ctx, g.member())
+			written = err == nil
+			if err != nil {
+				telemetry.Failure("write_member", err)
+			}
+		}
+		if err := g.readMembers(); err != nil {
+			telemetry.Failure("read_members", err)
+		}
+		period := memberPeriod
+		if !written || time.Since(started) < memberStarting {
+			period = memberStart
+		}
+		pause(g.ctx, period)
+	}
+}
+
+func (g *Gateway) sendBeats() {
+	for g.ctx.Err() == nil {
+		g.beat()
+		pause(g.ctx, presence.Interval)
+	}
+}
+
+func (g *Gateway) member() platform.Member {
+	self := g.peers.table.Self()
+	return platform.Member{Name: self.Name, Requests: self.Requests, Peers: self.Peers, Zone: self.Zone, Boot: self.Boot}
+}
+
+func (g *Gateway) readMembers() error {
+	members, err := g.client.ReadMembers(g.ctx)
+	if err != nil {
+		return err
+	}
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	for _, m := range members {
+		g.peers.table.Learn(presence.Beat{Name: m.Name, Zone: m.Zone, Requests: m.Requests, Peers: m.Peers, Boot: m.Boot})
+	}
+	return nil
+}
+
+func (g *Gateway) leaveMembership() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := g.client.RemoveMember(ctx, g.node.Name); err != nil {
+		telemetry.Failure("remove_member", err)
+	}
+}
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"bufio"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pistachioford.example/core/steer"
+)
+
+const (
+	// idleTime closes unused connections to targets that state no time.
+	idleTime = 8 * time.Second
+	// idleMargin is kept from the time that a target states, since its clock
+	// starts before this one.
+	idleMargin = time.Second
+	// userTimeout breaks connections whose bytes are not acknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// dialTimeout bounds the opening of a connection: a few round trips to the
+	// farthest region. A longer wait would use up the caller's time.
+	dialTimeout = 300 * time.Millisecond
+	// targetBuffer holds the header of an answer.
+	targetBuffer = 8 << 10
+)
+
+// targetConn is a connection to a target, used by one exchange at a time.
+type targetConn struct {
+	net.Conn
+	br *bufio.Reader
+	// used is set after the first exchange.
+	used  bool
+	idle  time.Time
+	until time.Time
+	raw   syscall.RawConn
+}
+
+// pool holds the idle connections to one target.
+type pool struct {
+	idle []*targetConn
+}
+
+// pools holds the connections to all targets. It is safe for concurrent use.
+type pools struct {
+	mu    sync.Mutex
+	byID  map[steer.TargetID]*pool
+	opens int64
+}
+
+func newPools() *pools { return &pools{byID: map[steer.TargetID]*pool{}} }
+
+// take returns an idle connection on which nothing is pending, or nil.
+func (p *pools) take(now time.Time, id steer.TargetID) *targetConn {
+	for {
+		conn := p.pop(id)
+		if conn == nil {
+			return nil
+		}
+		if now.Before(conn.until) && conn.silent() {
+			return conn
+		}
+		closeQuietly(conn)
+	}
+}
+
+func (p *pools) pop(id steer.TargetID) *targetConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.byID[id]
+	if held == nil || len(held.idle) == 0 {
+		return nil
+	}
+	conn := held.idle[len(held.idle)-1]
+	held.idle = held.idle[:len(held.idle)-1]
+	return conn
+}
+
+func (p *pools) put(now time.Time, id steer.TargetID, conn *targetConn, keep time.Duration) {
+	conn.used = true
+	conn.idle, conn.until = now, now.Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.byID[id]
+	if held == nil {
+		held = &pool{}
+		p.byID[id] = held
+	}
+	held.idle = append(held.idle, conn)
+}
+
+// dial opens a connection. It returns the time that this took.
+func (p *pools) dial(address string, timeout time.Duration) (*targetConn, time.Duration, error) {
+	began := time.Now()
+	dialer := net.Dialer{Timeout: min(timeout, dialTimeout), KeepAlive: -1, Control: setUserTimeout}
+	conn, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return nil, 0, err
+	}
+	target := &targetConn{Conn: conn, br: bufio.NewReaderSize(conn, targetBuffer)}
+	if holder, ok := conn.(syscall.Conn); ok {
+		if target.raw, err = holder.SyscallConn(); err != nil {
+			closeQuietly(conn)
+			return nil, 0, err
+		}
+	}
+	return target, time.Since(began), nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// sweep closes connections that were idle for too long.
+func (p *pools) sweep(now time.Time) {
+	for _, conn := range p.expired(now) {
+		closeQuietly(conn)
+	}
+}
+
+func (p *pools) expired(now time.Time) []*targetConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var expired []*targetConn
+	for id, held := range p.byID {
+		kept := held.idle[:0]
+		for _, conn := range held.idle {
+			if now.Before(conn.until) {
+				kept = append(kept, conn)
+			} else {
+				expired = append(expired, conn)
+			}
+		}
+		held.idle = kept
+		if len(kept) == 0 {
+			delete(p.byID, id)
+		}
+	}
+	return expired
+}
+
+// silent tells whether an idle connection is open and nothing is pending on
+// it. Bytes without a request belong to no exchange.
+func (c *targetConn) silent() bool {
+	if c.br.Buffered() > 0 || c.raw == nil {
+		return false
+	}
+	silent := false
+	err := c.raw.Control(func(fd uintptr) {
+		var probe [1]byte
+		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = err == unix.EAGAIN
+	})
+	return err == nil && silent
+}
+
+// keepFor returns how long a connection may stay idle after an answer.
+func keepFor(a *answer) time.Duration {
+	for _, part := range strings.Split(string(a.header.Peek("Keep-Alive")), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil {
+			return min(time.Duration(seconds)*time.Second-idleMargin, idleTime)
+		}
+	}
+	return idleTime
+}
+
+// closeQuietly closes a connection that is no longer needed; a failure to
+// close it changes nothing.
+func closeQuietly(conn net.Conn) { _ = conn.Close() }
--- /dev/null
+++ b/gateway/report.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
+)
+
+// metricsPort is where counters are served on every machine; deploy/system.toml
+// names the same one.
+const metricsPort = 9180
+
+func metricsAddress(node *platform.Node) string {
+	return net.JoinHostPort(node.Address, strconv.Itoa(metricsPort))
+}
+
+// Range and precision of the latency histograms.
+const (
+	histogramMostMS = 60_000
+	histogramDigits = 2
+)
+
+// metrics holds the counters and latency histograms of one instance. It is
+// safe for concurrent use.
+type metrics struct {
+	mu        sync.Mutex
+	counters  map[string]uint64
+	latencies map[string]*hdrhistogram.Histogram
+}
+
+func newMetrics() *metrics {
+	return &metrics{counters: map[string]uint64{}, latencies: map[string]*hdrhistogram.Histogram{}}
+}
+
+func (m *metrics) count(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[name]++
+}
+
+func (m *metrics) exchange(service string, result steer.Result) {
+	m.count(fmt.Sprintf(`exchanges_total{service=%q,result=%q}`, service, result))
+}
+
+// latency takes in the time from a request's arrival to its answer.
+func (m *metrics) latency(route string, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.latencies[route]
+	if h == nil {
+		h = hdrhistogram.New(1, histogramMostMS, histogramDigits)
+		m.latencies[route] = h
+	}
+	_ = h.RecordValue(min(max(took.Milliseconds(), 1), histogramMostMS))
+}
+
+// quantiles are those that the metrics page shows.
+var quantiles = []float64{50, 90, 99, 99.9}
+
+// text renders the metrics, one per line.
+func (m *metrics) text() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var lines []string
+	for name, value := range m.counters {
+		lines = append(lines, fmt.Sprintf("%s %d", name, value))
+	}
+	for route, h := range m.latencies {
+		for _, q := range quantiles {
+			lines = append(lines, fmt.Sprintf(`latency_ms{route=%q,quantile="%g"} %d`, route, q/100, h.ValueAtQuantile(q)))
+		}
+		lines = append(lines, fmt.Sprintf(`latency_ms_count{route=%q} %d`, route, h.TotalCount()))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func (m *metrics) handle(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(m.text()) }
+
+func routeName(r *request) string {
+	if r.Route == nil {
+		return ""
+	}
+	return r.Route.Name
+}
+
+// logServed reports a request that got a target's answer.
+func (g *Gateway) logServed(r *request, s *steer.Send, status int) {
+	took := time.Since(r.arrived)
+	g.metrics.count(fmt.Sprintf(`requests_total{route=%q,status="%d"}`, r.Route.Name, status))
+	g.metrics.latency(r.Route.Name, took)
+	telemetry.Event("served", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
+		telemetry.F("target", s.Target), telemetry.F("zone", s.Zone), telemetry.F("attempt", s.Attempt),
+		telemetry.F("expected_ms", s.Expected.Milliseconds()), telemetry.F("took_ms", took.Milliseconds()),
+		telemetry.F("status", status))
+}
+
+// logExchange reports an attempt that did not bring the caller's answer.
+func (g *Gateway) logExchange(r *request, s *steer.Send, out *outcome, repeated bool) {
+	if repeated {
+		g.metrics.count(fmt.Sprintf(`repeats_total{service=%q,reason=%q}`, r.Service, out.Result))
+	}
+	telemetry.Event("exchange_failed", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
+		telemetry.F("target", s.Target), telemetry.F("address", s.Address), telemetry.F("zone", s.Zone),
+		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("error", out.err),
+		telemetry.F("took_ms", time.Since(r.arrived).Milliseconds()), telemetry.F("repeated", repeated))
+}
+
+// logRefused reports a request that got no target's answer.
+func (g *Gateway) logRefused(r *request, status int, reason string) {
+	g.metrics.count(fmt.Sprintf(`refusals_total{route=%q,status="%d",reason=%q}`, routeName(r), status, reason))
+	took := time.Duration(0)
+	if !r.arrived.IsZero() {
+		took = time.Since(r.arrived)
+	}
+	telemetry.Event("refused", telemetry.F("request", string(r.id)), telemetry.F("route", routeName(r)),
+		telemetry.F("service", r.Service), telemetry.F("status", status), telemetry.F("reason", reason),
+		telemetry.F("took_ms", took.Milliseconds()))
+}
