steer: home objects by region, spill slowly, refuse queued late work

Cause: homes per zone ran each object cold twice a region and overfilled the memory of the two targets of the small region; timed out requests were taken for broken ones and ejected their targets; queues ran up to the route timeout. Conclusion: affinity by region is kept.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -32,8 +32,7 @@
 	warm      warmth
 	learned   map[durationKey]*durations
 	trips     map[string]time.Duration
-	// homes is the scratch table of one choice.
-	homes map[string]uint64
+	spills    map[string]*spill
 	// credits hold the weighted round robin of each split route.
 	credits map[string][]int
 }
@@ -54,7 +53,7 @@
 		warm:      warmth{last: map[uint64]time.Time{}},
 		learned:   map[durationKey]*durations{},
 		trips:     map[string]time.Duration{},
-		homes:     map[string]uint64{},
+		spills:    map[string]*spill{},
 		credits:   map[string][]int{},
 	}
 }
@@ -152,8 +151,10 @@
 	t.goneAt = now.Add(grace)
 }
 
-// Sweep forgets targets that are gone and have no request left.
-func (e *Engine) Sweep(now time.Time) {
+// Tick runs the periodic systems: it forgets targets that are gone and have no
+// request left, and adjusts what other regions get.
+func (e *Engine) Tick(now time.Time) {
+	e.adjustSpills(now)
 	for id, t := range e.targets {
 		if !t.goneAt.IsZero() && !now.Before(t.goneAt) && t.running == 0 {
 			e.remove(id)
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -7,45 +7,63 @@
 
 // Placement answers a load in which work on an object that a target handled
 // lately takes a third of the time: without affinity the same requests would
-// need more slots than there are. Each zone has a home target for an object,
-// by rendezvous hash, so that instances agree without messages. A request goes
-// where its answer is expected first, which moves it away from its home only
-// when waiting there costs more than cold work or a longer way elsewhere.
+// need more slots than there are. Weighted rendezvous hashing gives each
+// object a home target, so that instances agree without messages. A request
+// goes where its answer is expected first, and leaves its home only when
+// waiting there costs more than work without the object at hand elsewhere.
 const (
-	// homeChance is the assumed chance that an object is warm at its home
-	// target in a zone from which this instance has no memory of it.
-	homeChance = 0.6
-	// rankCost spreads the objects that leave their home over the other
-	// targets in a fixed order, so that instances agree on the second choice.
-	rankCost = 12 * time.Millisecond
+	// homeChance is the assumed chance that an object is at hand at its home
+	// target if this instance has not sent it there lately.
+	homeChance = 0.7
+	// secondCost and otherCost keep an object that leaves its home together on
+	// its second choice.
+	secondCost = 20 * time.Millisecond
+	otherCost  = 80 * time.Millisecond
 	// zoneByteCost and regionByteCost are the time that a byte between zones
 	// or regions is worth: such links are narrow and priced.
 	zoneByteCost   = 3 * time.Microsecond
 	regionByteCost = 5 * time.Microsecond
 	// envelopeBytes is the size of a small request with its answer.
 	envelopeBytes = 1000
+	// wayScale is the price of the way at which a target gets half as many
+	// homes as one nearby.
+	wayScale = 50 * time.Millisecond
 	// errorCost is the price of a target that fails all requests.
 	errorCost = 600 * time.Millisecond
-	// retriedCost keeps a repeat away from targets that have refused it.
-	retriedCost = time.Hour
 )
 
-// choose returns the target with the least expected time, or nil if none may
+// choice is the target chosen for a request.
+type choice struct {
+	target *target
+	// cost is the expected time to the answer with the price of the way.
+	cost time.Duration
+	// wait is the part of cost that the request spends in the target's queue.
+	wait time.Duration
+}
+
+// choose returns the target with the least cost; its target is nil if none may
 // get the request.
-func (e *Engine) choose(now time.Time, r *Request) (*target, time.Duration) {
+func (e *Engine) choose(now time.Time, r *Request) choice {
 	targets := e.byService[r.Service]
-	e.findHomes(now, r, targets)
-	var best *target
-	bestCost := time.Duration(math.MaxInt64)
+	home, second := e.homes(now, r, targets)
+	best := choice{cost: math.MaxInt64}
 	for _, t := range targets {
 		if !e.may(now, r, t) {
 			continue
 		}
-		if cost := e.cost(now, r, t); cost < bestCost {
-			best, bestCost = t, cost
+		c := e.weigh(now, r, t, home)
+		switch {
+		case r.Object == 0 || t == home:
+		case t == second:
+			c.cost += secondCost
+		default:
+			c.cost += otherCost
+		}
+		if c.cost < best.cost {
+			best = c
 		}
 	}
-	return best, bestCost
+	return best
 }
 
 // may tells whether the request may be sent to the target.
@@ -65,32 +83,48 @@
 		(t.goneAt.IsZero() || now.Before(t.goneAt))
 }
 
-// findHomes notes each zone's home target of the request's object.
-func (e *Engine) findHomes(now time.Time, r *Request, targets []*target) {
-	clear(e.homes)
+// homes returns the object's home target and the one after it.
+func (e *Engine) homes(now time.Time, r *Request, targets []*target) (home, second *target) {
 	if r.Object == 0 {
-		return
+		return nil, nil
 	}
+	least, next := math.Inf(1), math.Inf(1)
 	for _, t := range targets {
-		if !e.listed(now, t) || t.failing.ejections > 0 {
+		if !e.listed(now, t) || !r.allows(t.region) || t.failing.ejections > 0 {
 			continue
 		}
-		rank := mix(r.Object, t.hash)
-		if home, found := e.homes[t.Zone]; !found || rank < home {
-			e.homes[t.Zone] = rank
+		// A weighted rendezvous score: the chance to have the least one is
+		// proportional to the weight.
+		unit := (float64(mix(r.Object, t.hash)) + 1) / math.MaxUint64
+		score := -math.Log(unit) / e.weight(r, t)
+		switch {
+		case score < least:
+			home, second = t, home
+			least, next = score, least
+		case score < next:
+			second, next = t, score
 		}
 	}
+	return home, second
 }
 
-// cost is the expected time until the answer, with what the way there costs.
-func (e *Engine) cost(now time.Time, r *Request, t *target) time.Duration {
+// weight is the share of objects that a target is home to.
+func (e *Engine) weight(r *Request, t *target) float64 {
+	weight := 1 / (1 + float64(e.wayCost(r, t))/float64(wayScale))
+	if t.region != e.self.Region {
+		weight *= e.spillOf(r.Service).share
+	}
+	return weight
+}
+
+// weigh computes the expected time until the answer, with what the way costs.
+func (e *Engine) weigh(now time.Time, r *Request, t, home *target) choice {
 	d := e.durationsOf(r)
-	rank := mix(r.Object, t.hash)
 	chance := 0.0
 	switch {
 	case e.warm.has(now, r.Object, t):
 		chance = 1
-	case r.Object != 0 && e.homes[t.Zone] == rank:
+	case t == home && r.Object != 0:
 		chance = homeChance
 	}
 	slow := t.slowness(now)
@@ -98,16 +132,14 @@
 	if t.isCold(now) {
 		work += d.cold
 	}
-	total := e.distance(t) + e.wayCost(r, t) + work
-	total += time.Duration(t.failing.errors * float64(errorCost))
+	c := choice{target: t}
 	// A busy target's slots free one after the other.
 	if ahead := t.load(now) - float64(t.Slots) + 1; ahead > 0 {
-		total += time.Duration(ahead / float64(t.Slots) * slow * float64(d.expected(homeChance)))
-	}
-	if chance < 1 && r.Object != 0 {
-		total += time.Duration(float64(rankCost) * float64(rank) / math.MaxUint64)
+		c.wait = time.Duration(ahead / float64(t.Slots) * slow * float64(d.expected(homeChance)))
 	}
-	return total
+	c.cost = e.distance(t) + e.wayCost(r, t) + work + c.wait
+	c.cost += time.Duration(t.failing.errors * float64(errorCost))
+	return c
 }
 
 // wayCost is the price of the bytes to another zone.
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -41,14 +41,18 @@
 	Address        string
 	Zone           string
 	MaxConnections int
-	// Expected is the time that the answer should take.
+	// Expected is the time that the answer should take, with the price of the
+	// way to the target.
 	Expected time.Duration
+	// Warm tells whether the target handled the object lately for this
+	// instance, Load how many requests are expected there.
+	Warm bool
+	Load float64
 	// Attempt counts from 1.
 	Attempt int
 
 	at       time.Time
 	target   *target
-	warm     bool
 	waiting  bool
 	expected time.Duration
 }
@@ -116,27 +120,39 @@
 	return e.send(now, r)
 }
 
+// Admission answers a flood: work that would be late only because of the queue
+// before it is refused, since it would make all that come after it late too.
+// A target with a free slot is never a reason to refuse.
+const (
+	// lateFactor is the part of a route's aim that the expected time of a
+	// queued request may take; estimates are rough.
+	lateFactor = 1.25
+	// urgencyStep lowers it for each step of less urgent work.
+	urgencyStep = 0.1
+)
+
 func (e *Engine) send(now time.Time, r *Request) (Send, *Refusal) {
-	t, cost := e.choose(now, r)
+	c := e.choose(now, r)
+	t := c.target
 	if t == nil {
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: emptyRetry}
 	}
-	// The expected time may be too long by a factor of two.
-	if wait := cost - e.wayCost(r, t); now.Add(wait / 2).After(r.Deadline) {
-		return Send{}, &Refusal{Reason: ReasonTooLate, RetryAfter: soonRetry}
+	if c.wait > 0 && c.cost-e.wayCost(r, t) > e.patience(now, r) {
+		return Send{}, &Refusal{Reason: ReasonTooLate, RetryAfter: max(soonRetry, c.wait/2)}
 	}
 	d := e.durationsOf(r)
 	s := Send{
 		Target: t.ID, Address: t.Address, Zone: t.Zone, Attempt: len(r.tried) + 1,
-		Expected: cost, target: t, at: now,
-		warm:    e.warm.has(now, r.Object, t),
+		Expected: c.cost, target: t, at: now,
+		Warm:    e.warm.has(now, r.Object, t),
+		Load:    t.load(now),
 		waiting: t.load(now) >= float64(t.Slots),
 	}
 	if e.document != nil {
 		s.MaxConnections = e.document.Services[r.Service].MaxConnections
 	}
 	chance := 0.0
-	if s.warm {
+	if s.Warm {
 		chance = 1
 	}
 	s.expected = d.expected(chance) + e.distance(t)
@@ -150,6 +166,16 @@
 	return s, nil
 }
 
+// patience is the longest expected time with which a queued request is sent.
+func (e *Engine) patience(now time.Time, r *Request) time.Duration {
+	left := r.Deadline.Sub(now)
+	if r.Route.Aim <= 0 {
+		return left
+	}
+	factor := max(lateFactor-urgencyStep*float64(r.Route.Priority), 1)
+	return min(left, time.Duration(factor*float64(r.Route.Aim)))
+}
+
 // Load is a target's own count of its requests.
 type Load struct {
 	Running, Waiting, Slots int
@@ -263,7 +289,7 @@
 	e.suspects.succeeded(r.Fingerprint)
 	if !s.waiting {
 		work := max(elapsed-e.distance(t), 0)
-		e.durationsOf(r).learn(work, s.warm)
+		e.durationsOf(r).learn(work, s.Warm)
 		t.took(now, elapsed, s.expected)
 	}
 	if r.Route.Affinity {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -109,13 +109,13 @@
 }
 
 func failure(err error, alive bool, deadline time.Time) steer.Result {
-	var timeout net.Error
 	switch {
 	case !alive:
 		return steer.Abandoned
 	case errors.Is(err, errCallerCut):
 		return steer.Abandoned
-	case errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(deadline):
+	case !time.Now().Before(deadline):
+		// Errors of the header parser do not tell a timeout from a break.
 		return steer.TimedOut
 	default:
 		return steer.Broken
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 		case now := <-ticker.C:
 			g.pools.sweep(now)
 			g.mu.Lock()
-			g.engine.Sweep(now)
+			g.engine.Tick(now)
 			g.mu.Unlock()
 		}
 	}
