steer: count a target's load without the answered request; gateway: give up feed calls when peers are ahead

Cause: targets count the request that they answer in the load they report, so each report showed one request too many and objects spilled at a true load of 0.4 a slot. Ruled out: slow decoding, news lost.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -42,6 +42,10 @@
 	// Ready says that the instance serves requests.
 	Ready   bool `json:"ok"`
 	Leaving bool `json:"l,omitempty"`
+	// Document and Registry are the versions of the newest changes known to
+	// the instance.
+	Document uint64 `json:"d"`
+	Registry uint64 `json:"g"`
 }
 
 // newer tells whether b was sent after o.
@@ -69,8 +73,17 @@
 	return &Table{self: self, rows: map[string]*row{}, rand: rand.New(rand.NewPCG(seed, 1))}
 }
 
+// State is what an instance says of itself.
+type State struct {
+	Ready, Leaving     bool
+	Document, Registry uint64
+}
+
 // SetState sets what the own heartbeats say.
-func (t *Table) SetState(ready, leaving bool) { t.self.Ready, t.self.Leaving = ready, leaving }
+func (t *Table) SetState(s State) {
+	t.self.Ready, t.self.Leaving = s.Ready, s.Leaving
+	t.self.Document, t.self.Registry = s.Document, s.Registry
+}
 
 // Self returns the own newest heartbeat.
 func (t *Table) Self() Beat { return t.self }
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -251,7 +251,8 @@
 	own := t.running
 	t.running--
 	if ended.Load != nil {
-		t.report(now, ended.Load.Running+ended.Load.Waiting, own-1)
+		// The target counts the request that it answers.
+		t.report(now, ended.Load.Running+ended.Load.Waiting, own)
 	}
 	if ended.ColdFor > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(ended.ColdFor))
--- a/core/steer/spill.go
+++ b/core/steer/spill.go
@@ -69,7 +69,7 @@
 		if t.region != e.self.Region {
 			side = 1
 		}
-		load[side] += t.load(now) * t.slowness(now)
+		load[side] += t.load(now)
 		slots[side] += float64(t.Slots)
 	}
 	return perSlot(load[0], slots[0]), perSlot(load[1], slots[1])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 	pools   *pools
 	callers callers
 	peers   *peers
+	// documents and registry are how far the tables were followed.
+	documents, registry *progress
 
 	mu sync.Mutex
 	// engine is guarded by mu.
@@ -48,6 +50,7 @@
 func New(node *platform.Node) *Gateway {
 	g := &Gateway{
 		node: node, boot: time.Now().UnixNano(), client: platform.NewStore(node.Store),
+		documents: newProgress(), registry: newProgress(),
 		store: &storeState{}, metrics: newMetrics(), pools: newPools(),
 		callers: callers{open: map[*callerConn]struct{}{}},
 		engine: steer.NewEngine(steer.Config{
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// memberPeriod is how often the rows of all instances are read, to learn of
-	// those that started; heartbeats then tell who is alive.
-	memberPeriod = 5 * time.Second
+	// memberPeriod is how often the rows of all instances are read. One that
+	// starts makes itself known by its heartbeats, so this only helps after
+	// lost ones.
+	memberPeriod = 15 * time.Second
 	// memberStart is the period just after the start, while others start too.
 	memberStart = time.Second
 	// memberStarting is how long an instance counts as just started.
@@ -65,9 +66,9 @@
 }
 
 // send sends one heartbeat.
-func (p *peers) send(now time.Time, ready, leaving bool) {
+func (p *peers) send(now time.Time, state presence.State) {
 	p.mu.Lock()
-	p.table.SetState(ready, leaving)
+	p.table.SetState(state)
 	own, others, to := p.table.Next(now)
 	p.mu.Unlock()
 	message, err := json.Marshal(heartbeat{Own: own, Others: others})
@@ -108,6 +109,8 @@
 	now := time.Now()
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
+	g.documents.heard(message.Own.Document)
+	g.registry.heard(message.Own.Registry)
 	for _, beat := range append(message.Others, message.Own) {
 		if g.peers.table.Hear(now, beat) {
 			telemetry.Event("instance_live", telemetry.F("instance", beat.Name), telemetry.F("zone", beat.Zone))
@@ -124,7 +127,10 @@
 // beat sends a heartbeat and tells the engine who is alive.
 func (g *Gateway) beat() {
 	now := time.Now()
-	g.peers.send(now, g.ready(), g.leaving.Load())
+	g.peers.send(now, presence.State{
+		Ready: g.ready(), Leaving: g.leaving.Load(),
+		Document: g.documents.version(), Registry: g.registry.version(),
+	})
 	live := g.peers.live(now)
 	names := make([]string, len(live))
 	for i, beat := range live {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -14,8 +14,11 @@
 
 const (
 	// feedWait is how long the store may hold a call that waits for changes. A
-	// lost answer goes unnoticed for this long.
-	feedWait = 2500 * time.Millisecond
+	// lost answer goes unnoticed for this long, unless another instance is
+	// heard to be ahead.
+	feedWait = 4 * time.Second
+	// behindTime is how long news of others may be on their way here too.
+	behindTime = 400 * time.Millisecond
 	// feedPause gathers changes that come close together into one call.
 	feedPause = 150 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
@@ -23,7 +26,7 @@
 	retryMost  = 800 * time.Millisecond
 	// currentFor is how long after the last answer of the store the document
 	// counts as new.
-	currentFor = 2*feedWait + time.Second
+	currentFor = feedWait + 2*time.Second
 	// lapseWindow is how long after a failed call a removed entry may have
 	// lapsed because its target could not reach the store.
 	lapseWindow = 5 * time.Second
@@ -87,25 +90,82 @@
 
 // feed follows one table of the store.
 type feed[T any] struct {
-	name   string
-	read   func(context.Context) ([]T, uint64, error)
-	watch  func(context.Context, uint64, time.Duration) ([]T, uint64, error)
-	apply  func(now time.Time, changes []T, whole bool)
-	synced bool
-	// version is the newest one that was taken in.
-	version uint64
+	name  string
+	read  func(context.Context) ([]T, platform.Position, error)
+	watch func(context.Context, uint64, time.Duration) ([]T, platform.Position, error)
+	apply func(now time.Time, changes []T, whole bool)
+	// progress is shared with the heartbeats.
+	progress *progress
+	synced   bool
+	// next is the version after which changes are to be read.
+	next uint64
+}
+
+// progress is how far this instance has followed a table, and what it hears
+// of others. It is safe for concurrent use.
+type progress struct {
+	mu sync.Mutex
+	// newest is the version of the newest change that was taken in, ahead the
+	// highest one that another instance named.
+	newest, ahead uint64
+	behind        *time.Timer
+	kick          chan struct{}
+}
+
+func newProgress() *progress { return &progress{kick: make(chan struct{}, 1)} }
+
+func (p *progress) seen(version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.newest = max(p.newest, version)
+}
+
+func (p *progress) version() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.newest
+}
+
+// heard takes in how far another instance is. If this one does not get there
+// soon, its waiting call was lost and is given up.
+func (p *progress) heard(version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version <= p.newest || version <= p.ahead {
+		return
+	}
+	p.ahead = version
+	p.behind = time.AfterFunc(behindTime, func() {
+		if p.version() >= version {
+			return
+		}
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// result is what one step of a feed brought.
+type result[T any] struct {
+	changes []T
+	at      platform.Position
+	err     error
 }
 
 // follow runs until the instance stops.
 func follow[T any](g *Gateway, f *feed[T]) {
 	failures := 0
 	for g.ctx.Err() == nil {
-		changed, err := f.step(g.ctx)
+		changed, err := f.step(g.ctx, failures > 0)
 		now := time.Now()
 		switch {
+		case errors.Is(err, errKicked):
+			telemetry.Event("feed_kicked", telemetry.F("feed", f.name), telemetry.F("version", f.next))
+			failures++
 		case errors.Is(err, platform.ErrHistoryGone):
 			f.synced = false
-			telemetry.Event("feed_reset", telemetry.F("feed", f.name), telemetry.F("version", f.version))
+			telemetry.Event("feed_reset", telemetry.F("feed", f.name), telemetry.F("version", f.next))
 			pause(g.ctx, retryLeast)
 		case err != nil:
 			g.store.lost(now, err)
@@ -121,29 +181,54 @@
 	}
 }
 
-// errOldAnswer reports an answer from before what is already known.
-var errOldAnswer = errors.New("the store's answer is older than what is known")
+var (
+	// errOldAnswer reports an answer from before what is already known.
+	errOldAnswer = errors.New("the store's answer is older than what is known")
+	// errKicked reports a call that was given up since others are ahead.
+	errKicked = errors.New("other instances are ahead")
+)
 
-func (f *feed[T]) step(ctx context.Context) (changed bool, err error) {
-	if f.synced {
-		changes, version, err := f.watch(ctx, f.version, feedWait)
-		if err != nil {
-			return false, err
-		}
-		f.version = max(f.version, version)
-		f.apply(time.Now(), changes, false)
-		return len(changes) > 0, nil
-	}
-	changes, version, err := f.read(ctx)
-	if err != nil {
-		return false, err
-	}
-	if version < f.version {
+// step makes one call. doubtful says that the last one failed: the store is
+// then not asked to hold the call, whose loss would go unnoticed.
+func (f *feed[T]) step(ctx context.Context, doubtful bool) (changed bool, err error) {
+	whole := !f.synced
+	r, kicked := f.call(ctx, doubtful)
+	switch {
+	case kicked:
+		return false, errKicked
+	case r.err != nil:
+		return false, r.err
+	case whole && r.at.Next < f.next:
 		return false, errOldAnswer
 	}
-	f.version, f.synced = version, true
-	f.apply(time.Now(), changes, true)
-	return true, nil
+	f.next, f.synced = max(f.next, r.at.Next), true
+	f.apply(time.Now(), r.changes, whole)
+	f.progress.seen(r.at.Newest)
+	return whole || len(r.changes) > 0, nil
+}
+
+// call runs in the background, so that it can be given up.
+func (f *feed[T]) call(ctx context.Context, doubtful bool) (result[T], bool) {
+	done := make(chan result[T], 1)
+	synced, next := f.synced, f.next
+	go func() {
+		var r result[T]
+		switch {
+		case !synced:
+			r.changes, r.at, r.err = f.read(ctx)
+		case doubtful:
+			r.changes, r.at, r.err = f.watch(ctx, next, 0)
+		default:
+			r.changes, r.at, r.err = f.watch(ctx, next, feedWait/2+rand.N(feedWait/2))
+		}
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		return r, false
+	case <-f.progress.kick:
+		return result[T]{}, true
+	}
 }
 
 func backoff(failures int) time.Duration {
@@ -154,6 +239,7 @@
 func (g *Gateway) watchDocument() {
 	follow(g, &feed[platform.DocumentChange]{
 		name: "document", read: g.client.ReadOperator, watch: g.client.WatchOperator, apply: g.applyOperator,
+		progress: g.documents,
 	})
 }
 
@@ -202,7 +288,7 @@
 func (g *Gateway) watchRegistry() {
 	known := map[steer.TargetID]bool{}
 	follow(g, &feed[platform.TargetChange]{
-		name: "registry", read: g.client.ReadRegistry, watch: g.client.WatchRegistry,
+		name: "registry", read: g.client.ReadRegistry, watch: g.client.WatchRegistry, progress: g.registry,
 		apply: func(now time.Time, changes []platform.TargetChange, whole bool) {
 			g.applyRegistry(now, changes, whole, known)
 		},
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -108,5 +108,9 @@
 func LogTo(w *Writer, level string) {
 	ConfigureLog(level)
 	klog.LogToStderr(false)
-	klog.SetOutput(w)
+	// klog writes an error to the outputs of all lower severities too.
+	klog.SetOutputBySeverity("INFO", w)
+	for _, severity := range []string{"WARNING", "ERROR", "FATAL"} {
+		klog.SetOutputBySeverity(severity, io.Discard)
+	}
 }
