--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -27,11 +27,9 @@
 	// currentFor is how long after the last answer of the store the document
 	// counts as new.
 	currentFor = feedWait + 2*time.Second
-	// lapseWindow is how long after a failed call a removed entry may have
-	// lapsed because its target could not reach the store.
-	lapseWindow = 5 * time.Second
-	// lapseGrace is how long such a target stays in use: live targets are back
-	// in the registry about 2 s after the store's return.
+	// lapseGrace is how long after the store's return a target whose entry went
+	// stays in use: the entry may have lapsed while its target could not reach
+	// the store, and is back after about 2 s if the target lives.
 	lapseGrace = 2200 * time.Millisecond
 )
 
@@ -41,6 +39,7 @@
 	mu       sync.Mutex
 	answered time.Time
 	failed   time.Time
+	regained time.Time
 	down     bool
 	registry bool
 }
@@ -50,7 +49,7 @@
 	defer s.mu.Unlock()
 	s.answered = now
 	if s.down {
-		s.down = false
+		s.down, s.regained = false, now
 		telemetry.Event("store_regained", telemetry.F("after", now.Sub(s.failed)))
 	}
 }
@@ -72,14 +71,14 @@
 	return !s.down && now.Sub(s.answered) < currentFor
 }
 
-// lapse is how long a target stays in use after its entry went.
+// lapse is how much longer a target stays in use whose entry went.
 func (s *storeState) lapse(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.failed) < lapseWindow {
+	if s.down {
 		return lapseGrace
 	}
-	return 0
+	return max(s.regained.Add(lapseGrace).Sub(now), 0)
 }
 
 func (s *storeState) sawRegistry() bool {
@@ -146,6 +145,14 @@
 	})
 }
 
+// forgetKick drops a kick for an earlier call.
+func (p *progress) forgetKick() {
+	select {
+	case <-p.kick:
+	default:
+	}
+}
+
 // result is what one step of a feed brought.
 type result[T any] struct {
 	changes []T
@@ -211,6 +218,12 @@
 func (f *feed[T]) call(ctx context.Context, doubtful bool) (result[T], bool) {
 	done := make(chan result[T], 1)
 	synced, next := f.synced, f.next
+	// Only a held call can be lost without being noticed soon.
+	var kick <-chan struct{}
+	if synced && !doubtful {
+		f.progress.forgetKick()
+		kick = f.progress.kick
+	}
 	go func() {
 		var r result[T]
 		switch {
@@ -226,7 +239,7 @@
 	select {
 	case r := <-done:
 		return r, false
-	case <-f.progress.kick:
+	case <-kick:
 		return result[T]{}, true
 	}
 }
