steer: keep objects at home in a flood; choose senders to cold targets among all known instances

TestColdTargets failed first: instances cut off from each other each counted themselves among the 3 senders. Ruled out: queue limits of targets (replay with and without).

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -176,3 +176,12 @@
 	}
 	return live
 }
+
+// Names returns the names of all known instances, live or not.
+func (t *Table) Names() []string {
+	names := make([]string, 0, len(t.rows))
+	for name := range t.rows {
+		names = append(names, name)
+	}
+	return names
+}
--- a/core/steer/cold.go
+++ b/core/steer/cold.go
@@ -8,9 +8,9 @@
 
 // A cold target crashes above a rate that holds for all instances together.
 // Instances do not agree on a count in time, so only a few of them, chosen by
-// hash among the live ones, may send to it, each at a fixed part of the rate.
-// With wrong views of who is live at most twice as many send, still below the
-// point at which the target crashes.
+// hash among all that are known, may send to it, each at a fixed part of the
+// rate. Dead and unreachable instances stay among the known ones: those that
+// are cut off from each other would otherwise all count themselves in.
 const (
 	// coldSenders is the number of instances that send to one cold target.
 	coldSenders = 3
@@ -44,10 +44,13 @@
 
 // sendsToCold tells whether this instance is one of the senders of a target.
 func (e *Engine) sendsToCold(t *target) bool {
+	if !e.membersKnown {
+		return false
+	}
 	own := coldRank(e.self.Name, t.hash)
 	ahead := 0
-	for _, peer := range e.peers {
-		if peer != e.self.Name && coldRank(peer, t.hash) < own {
+	for _, member := range e.members {
+		if member != e.self.Name && coldRank(member, t.hash) < own {
 			ahead++
 		}
 	}
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -26,7 +26,11 @@
 	targets   map[TargetID]*target
 	byService map[string][]*target
 	evacuated map[string]bool
-	peers     []string
+	// peers is the number of other live instances.
+	peers int
+	// members are the names of all known instances, live or not.
+	members      []string
+	membersKnown bool
 	budgets   map[string]*budget
 	suspects  suspects
 	warm      warmth
@@ -71,8 +75,11 @@
 	return true
 }
 
-// SetPeers names the other live instances.
-func (e *Engine) SetPeers(names []string) { e.peers = names }
+// SetInstances states the number of other live instances and the names of all
+// known ones. Until the first call nothing is sent to cold targets.
+func (e *Engine) SetInstances(live int, known []string) {
+	e.peers, e.members, e.membersKnown = live, known, true
+}
 
 // warmupOf is how long targets of a service stay cold.
 func (e *Engine) warmupOf(service string) time.Duration {
--- /dev/null
+++ b/core/steer/engine_test.go
@@ -0,0 +1,389 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a second run of work that must run at most once.
+func TestNonIdempotentIsNotRepeatedAfterItMayHaveRun(t *testing.T) {
+	for _, result := range []Result{Broken, TimedOut, Failed} {
+		t.Run(result.String(), func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 3, "a1")
+			r := newTestRequest(e, start, "/order/1", 5)
+			s := mustSend(t, e, start, r)
+			next, refusal := finish(e, start, r, s, result)
+			is.True(next == nil)
+			is.True(r.MayHaveRun())
+			is.Equal(refusal == nil, result == Failed) // a target's own failure is passed on
+		})
+	}
+}
+
+// Guards against refusing work that another target can still take.
+func TestNotRunWorkMovesOn(t *testing.T) {
+	for _, result := range []Result{Shed, Misdirected, NotSent} {
+		t.Run(result.String(), func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 3, "a1")
+			r := newTestRequest(e, start, "/order/1", 5)
+			s := mustSend(t, e, start, r)
+			next, refusal := finish(e, start, r, s, result)
+			is.True(refusal == nil)
+			is.True(next.Target != s.Target)
+			is.True(!r.MayHaveRun())
+		})
+	}
+}
+
+// Guards against a false "not run": an idempotent request that one target ran
+// and a second one shed has run.
+func TestMayHaveRunStaysSet(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 3, "a1")
+	r := newTestRequest(e, start, "/read/1", 5)
+	s := mustSend(t, e, start, r)
+	next, _ := finish(e, start, r, s, Broken)
+	is.True(next != nil)
+	_, refusal := finish(e, start, r, next, Shed)
+	is.Equal(refusal.Reason, ReasonShed)
+	is.True(r.MayHaveRun())
+}
+
+// Guards against more targets than the route allows.
+func TestMaxAttempts(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 6, "a1")
+	r := newTestRequest(e, start, "/read/1", 5)
+	s := mustSend(t, e, start, r)
+	s, _ = finish(e, start, r, s, Shed)
+	is.True(s != nil)
+	next, refusal := finish(e, start, r, s, Shed)
+	is.True(next == nil)
+	is.Equal(refusal.Reason, ReasonShed)
+}
+
+// Guards against a request that crashes one target after the other, while a
+// popular read in flight on a dying target stays allowed.
+func TestCrasherIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 6, "a1")
+	crash := func() *Refusal {
+		r := newTestRequest(e, start, "/order/1", 5)
+		s, refusal := e.Arrive(start, r)
+		if refusal != nil {
+			return refusal
+		}
+		_, _ = finish(e, start, r, &s, Broken)
+		return nil
+	}
+	is.True(crash() == nil)
+	first := e.suspects.table[mix(5, 7)]
+	is.Equal(first.breaks, 1)
+	for range crashLimit + 2 {
+		if refusal := crash(); refusal != nil {
+			is.Equal(refusal.Reason, ReasonCrasher)
+			return
+		}
+	}
+	t.Fatal("the request still reaches targets")
+}
+
+func TestOneTargetsDeathMakesNoCrasher(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 1, "a1")
+	var requests []*Request
+	var sends []*Send
+	for range 3 {
+		r := newTestRequest(e, start, "/order/1", 5)
+		requests, sends = append(requests, r), append(sends, mustSend(t, e, start, r))
+	}
+	for i, r := range requests {
+		_, _ = finish(e, start, r, sends[i], Broken)
+	}
+	is.True(!e.suspects.blocked(start, mix(5, 7)))
+}
+
+// Guards against use of a target that left, is evacuated or is another one.
+func TestUnlistedTargetsGetNothing(t *testing.T) {
+	cases := map[string]func(*Engine){
+		"draining": func(e *Engine) {
+			r := record("s-a1-0", "s", "a1")
+			r.Draining, r.Sequence = true, 2
+			e.PutTarget(start, r)
+		},
+		"gone":       func(e *Engine) { e.DropTarget(start, "s-a1-0", 0) },
+		"evacuated":  func(e *Engine) { e.Evacuate(start, "a1", true) },
+		"other zone": func(e *Engine) { e.remove("s-a1-0") },
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 1, "a1")
+			leave(e)
+			_, refusal := e.Arrive(start, newTestRequest(e, start, "/read/1", 5))
+			is.Equal(refusal.Reason, ReasonNoTarget)
+		})
+	}
+}
+
+// Guards against work in a zone that is being emptied for longer than the
+// grace of entries that lapsed with the registry.
+func TestLapsedTargetIsUsedForItsGrace(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 1, "a1")
+	e.DropTarget(start, "s-a1-0", 2*time.Second)
+	early := start.Add(time.Second)
+	s := mustSend(t, e, early, newTestRequest(e, early, "/read/1", 5))
+	is.Equal(s.Target, TargetID("s-a1-0"))
+	late := start.Add(2 * time.Second)
+	_, refusal := e.Arrive(late, newTestRequest(e, late, "/read/1", 6))
+	is.Equal(refusal.Reason, ReasonNoTarget)
+}
+
+// Guards against records that arrive out of order, and those of a start before
+// the known one.
+func TestOldRecordsAreRefused(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	r := record("x", "s", "a1")
+	r.Boot, r.Sequence = 5, 9
+	is.True(e.PutTarget(start, r))
+	r.Sequence = 8
+	is.True(!e.PutTarget(start, r)) // older report of the same start
+	r.Boot, r.Sequence = 4, 20
+	is.True(!e.PutTarget(start, r)) // earlier start
+	r.Boot, r.Sequence = 6, 1
+	is.True(e.PutTarget(start, r)) // later start counts anew
+	r.Zone = "nowhere"
+	r.Sequence = 2
+	is.True(!e.PutTarget(start, r))
+}
+
+// Guards against a document that goes back.
+func TestOlderDocumentIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	is.True(e.SetDocument(testDocument(t, 7)))
+	is.True(!e.SetDocument(testDocument(t, 6)))
+	is.True(!e.SetDocument(testDocument(t, 7)))
+	is.Equal(e.Document().Version, uint64(7))
+}
+
+// Guards against requests that leave the regions of their route.
+func TestRegionsBind(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 2, "a1", "a2", "b1", "c1")
+	for object := range uint64(50) {
+		r := newTestRequest(e, start, "/", object+1)
+		s := mustSend(t, e, start, r)
+		is.Equal(testZones[s.Zone], "b")
+		_, _ = finish(e, start, r, s, Answered)
+	}
+}
+
+// Guards against shares that drift from their weights.
+func TestSplitFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 2, "a1")
+	addTargets(e, "s2", 2, "a1")
+	counts := map[string]int{}
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		r := newTestRequest(e, now, "/split/1", uint64(i+1))
+		s := mustSend(t, e, now, r)
+		counts[r.Service]++
+		_, _ = finish(e, now, r, s, Answered)
+	}
+	is.Equal(counts["s"], 180)
+	is.Equal(counts["s2"], 20)
+}
+
+func TestLongestPrefixMatches(t *testing.T) {
+	is := is.New(t)
+	doc := testDocument(t, 1)
+	doc.Routes = append(doc.Routes, Route{Name: "deep", Host: "h", Prefix: "/read/deep/", Timeout: time.Second,
+		Shares: []Share{{"s", 1}}, MaxAttempts: 1})
+	is.NoErr(doc.Build())
+	is.Equal(doc.Match("h", "/read/deep/x").Name, "deep")
+	is.Equal(doc.Match("h", "/read/x").Name, "read")
+	is.True(doc.Match("h", "/readx") == nil)
+	is.True(doc.Match("other", "/read/x") == nil)
+}
+
+// Guards against documents that cannot be served.
+func TestBadDocuments(t *testing.T) {
+	cases := map[string]func(*Route){
+		"host":       func(r *Route) { r.Host = "" },
+		"prefix":     func(r *Route) { r.Prefix = "read" },
+		"timeout":    func(r *Route) { r.Timeout = 0 },
+		"attempts":   func(r *Route) { r.MaxAttempts = 0 },
+		"no service": func(r *Route) { r.Shares = nil },
+		"unknown":    func(r *Route) { r.Shares = []Share{{"missing", 1}} },
+		"weight":     func(r *Route) { r.Shares = []Share{{"s", -1}} },
+		"no weight":  func(r *Route) { r.Shares = []Share{{"s", 0}} },
+		"same place": func(r *Route) { r.Prefix = "/order/" },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			doc := testDocument(t, 1)
+			spoil(&doc.Routes[0])
+			is.New(t).True(doc.Build() != nil)
+		})
+	}
+}
+
+// Guards against a shared bound that each instance takes for its own: repeats
+// of all instances together stay within the rule while all targets shed.
+func TestRepeatsOfAllInstancesStayWithinTheRule(t *testing.T) {
+	is := is.New(t)
+	const instances, perSecond = 18, 40
+	var engines []*Engine
+	for i := range instances {
+		e := testEngine(t, fmt.Sprintf("i%d", i), "a1")
+		addTargets(e, "s", 4, "a1")
+		engines = append(engines, e)
+	}
+	// The views lag: each instance knows half of the others.
+	for _, e := range engines {
+		e.SetInstances(instances/2, nil)
+	}
+	const seconds = 20
+	requests, repeats := make([]int, seconds), make([]int, seconds)
+	for i := range seconds * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		for _, e := range engines {
+			r := newTestRequest(e, now, "/read/1", uint64(i+1))
+			requests[i/perSecond]++
+			s, refusal := e.Arrive(now, r)
+			for next := &s; refusal == nil && next != nil; {
+				next, refusal = e.Finish(now, r, next, Ended{Result: Shed, Load: &Load{Running: 1, Slots: 3}})
+				if next != nil {
+					repeats[i/perSecond]++
+				}
+			}
+		}
+	}
+	for first := 0; first+10 <= seconds; first++ {
+		var asked, again int
+		for s := first; s < first+10; s++ {
+			asked, again = asked+requests[s], again+repeats[s]
+		}
+		is.True(float64(again) <= 0.2*float64(asked)+62)
+		is.True(again > 0)
+	}
+}
+
+// Guards against a flood that crashes cold targets: the sum over all
+// instances stays below the rate, also when nobody reaches anybody else and
+// when a quarter of the instances is not known yet.
+func TestColdTargetsGetFewRequestsFromAllInstances(t *testing.T) {
+	for _, known := range []int{11, 8} {
+		t.Run(fmt.Sprintf("known=%d", known), func(t *testing.T) {
+			is := is.New(t)
+			const instances = 12
+			arrived := make([]int, 4000)
+			for i := range instances {
+				e := testEngine(t, fmt.Sprintf("i%d", i), "a1")
+				var peers []string
+				for p := range known {
+					peers = append(peers, fmt.Sprintf("i%d", (i+p+1)%instances))
+				}
+				e.SetInstances(0, peers)
+				cold := record("cold", "s", "a1")
+				cold.ColdFor = 10 * time.Second
+				e.PutTarget(start, cold)
+				for ms := 0; ms < 4000; ms += 5 {
+					now := start.Add(time.Duration(ms) * time.Millisecond)
+					r := newTestRequest(e, now, "/read/1", uint64(ms+1))
+					if s, refusal := e.Arrive(now, r); refusal == nil {
+						arrived[ms]++
+						_, _ = finish(e, now, r, &s, Answered)
+					}
+				}
+			}
+			most, total := 0, 0
+			for first := range 3000 {
+				sum := 0
+				for _, n := range arrived[first : first+1000] {
+					sum += n
+				}
+				most = max(most, sum)
+			}
+			for _, n := range arrived {
+				total += n
+			}
+			is.True(float64(most) <= 6.8*1.5+5)
+			is.True(total > 0) // new targets get some work
+		})
+	}
+}
+
+// Guards against an instance that has just started and takes itself for the
+// only one.
+func TestColdTargetsGetNothingBeforeInstancesAreKnown(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	cold := record("cold", "s", "a1")
+	cold.ColdFor = time.Second
+	e.PutTarget(start, cold)
+	_, refusal := e.Arrive(start, newTestRequest(e, start, "/read/1", 5))
+	is.Equal(refusal.Reason, ReasonNoTarget)
+	e.SetInstances(0, nil)
+	mustSend(t, e, start, newTestRequest(e, start, "/read/1", 5))
+}
+
+// Guards against a target that stopped answering and still gets requests, and
+// against one that is never tried again.
+func TestEjectionAndReturn(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 1, "a1")
+	r := newTestRequest(e, start, "/order/1", 0)
+	s := mustSend(t, e, start, r)
+	_, _ = finish(e, start, r, s, NotSent)
+	_, refusal := e.Arrive(start, newTestRequest(e, start, "/order/1", 0))
+	is.Equal(refusal.Reason, ReasonNoTarget)
+	later := start.Add(ejectBase)
+	probe := newTestRequest(e, later, "/order/1", 0)
+	s = mustSend(t, e, later, probe)
+	_, refusal = e.Arrive(later, newTestRequest(e, later, "/order/1", 0))
+	is.Equal(refusal.Reason, ReasonNoTarget) // one request at a time tests it
+	_, _ = finish(e, later, probe, s, Answered)
+	mustSend(t, e, later, newTestRequest(e, later, "/order/1", 0))
+}
+
+// Guards against a hung queue: work that would be late only because of the
+// queue is refused at once, and never while a slot is free.
+func TestQueuedLateWorkIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 1, "a1")
+	sent := 0
+	for range 30 {
+		r := newTestRequest(e, start, "/order/1", 0)
+		_, refusal := e.Arrive(start, r)
+		if refusal != nil {
+			is.Equal(refusal.Reason, ReasonTooLate)
+			is.True(refusal.RetryAfter > 0)
+			break
+		}
+		sent++
+	}
+	is.True(sent >= 3)
+	is.True(sent < 30)
+}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -28,6 +28,12 @@
 	// wayScale is the price of the way at which a target gets half as many
 	// homes as one nearby.
 	wayScale = 50 * time.Millisecond
+	// crowdedFrom is the load per slot of a service from which work away from
+	// the home has a price; it grows up to crowdedMost above. A load of 1 costs
+	// as much time as the work takes from others.
+	crowdedFrom = 0.25
+	crowdedMost = 1.5
+	crowdedCost = 4.0
 	// errorCost is the price of a target that fails all requests.
 	errorCost = 600 * time.Millisecond
 )
@@ -46,6 +52,7 @@
 func (e *Engine) choose(now time.Time, r *Request) choice {
 	targets := e.byService[r.Service]
 	home, second := e.homes(now, r, targets)
+	crowded := e.crowding(now, r, targets)
 	best := choice{cost: math.MaxInt64}
 	for _, t := range targets {
 		if !e.may(now, r, t) {
@@ -55,9 +62,9 @@
 		switch {
 		case r.Object == 0 || t == home:
 		case t == second:
-			c.cost += secondCost
+			c.cost += secondCost + crowded
 		default:
-			c.cost += otherCost
+			c.cost += otherCost + crowded
 		}
 		if c.cost < best.cost {
 			best = c
@@ -66,6 +73,25 @@
 	return best
 }
 
+// crowding is the price of work away from an object's home while slots are
+// scarce: it takes the time of several requests that have their object at hand.
+// In a flood it keeps the objects where they are, and the surplus is refused.
+func (e *Engine) crowding(now time.Time, r *Request, targets []*target) time.Duration {
+	load, slots := 0.0, 0.0
+	for _, t := range targets {
+		if e.listed(now, t) && t.failing.ejections == 0 {
+			load += t.load(now)
+			slots += float64(t.Slots)
+		}
+	}
+	scarce := min(perSlot(load, slots)-crowdedFrom, crowdedMost)
+	if scarce <= 0 {
+		return 0
+	}
+	d := e.durationsOf(r)
+	return time.Duration(scarce * crowdedCost * float64(max(d.cold-d.warm, 0)))
+}
+
 // may tells whether the request may be sent to the target.
 func (e *Engine) may(now time.Time, r *Request, t *target) bool {
 	if !e.listed(now, t) || !r.allows(t.region) || r.triedTarget(t.ID) {
--- a/core/steer/retry.go
+++ b/core/steer/retry.go
@@ -42,7 +42,7 @@
 
 // extraShare is this instance's part of the fixed number.
 func (e *Engine) extraShare() float64 {
-	return e.retry.Extra * extraPart / float64(max(len(e.peers)+1, fewestInstances))
+	return e.retry.Extra * extraPart / float64(max(e.peers+1, fewestInstances))
 }
 
 func (e *Engine) refillBudget(now time.Time, b *budget) {
--- a/core/steer/spill.go
+++ b/core/steer/spill.go
@@ -22,12 +22,20 @@
 	// known. spillMost treats all regions alike.
 	spillLeast = 0.02
 	spillMost  = 1.0
+	// fairPart is the part of an equal share of all slots that a region is
+	// expected to need before its load was measured.
+	fairPart = 0.6
+	// settleTime is how long after the first targets were known the expected
+	// share is used; until then the registry may still fill.
+	settleTime = 3 * time.Second
 )
 
 // spill is the weight of other regions' targets for one service.
 type spill struct {
 	share float64
 	at    time.Time
+	// since is when the first targets were known.
+	since time.Time
 }
 
 func (e *Engine) spillOf(service string) *spill {
@@ -47,6 +55,13 @@
 			continue
 		}
 		s.at = now
+		if s.since.IsZero() {
+			s.since = now
+		}
+		if now.Sub(s.since) < settleTime {
+			s.share = e.expectedSpill(targets)
+			continue
+		}
 		own, others := e.loads(now, targets)
 		switch {
 		case own > busyLoad && own > others+busyMargin:
@@ -57,6 +72,27 @@
 	}
 }
 
+// expectedSpill is the share with which a region with few targets sends what
+// it lacks to the others.
+func (e *Engine) expectedSpill(targets []*target) float64 {
+	slots := map[string]float64{}
+	total := 0.0
+	for _, t := range targets {
+		slots[t.region] += float64(t.Slots)
+		total += float64(t.Slots)
+	}
+	own := slots[e.self.Region]
+	if len(slots) < 2 {
+		return spillLeast
+	}
+	if own == 0 {
+		return spillMost
+	}
+	need := fairPart * total / float64(len(slots))
+	share := (need - own) / (total - own)
+	return min(max(share, spillLeast), spillMost)
+}
+
 // loads returns the load per slot of the own region and of all others. A
 // region without targets counts as fully loaded.
 func (e *Engine) loads(now time.Time, targets []*target) (own, others float64) {
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -29,7 +29,9 @@
 	// othersWeight is the weight of the newest report in the mean load that
 	// other instances put on a target.
 	othersWeight = 0.4
-	// othersFade is the age at which a load report says nothing any more.
+	// othersHold is the age up to which a load report counts in full; it then
+	// fades to nothing within othersFade.
+	othersHold = time.Second
 	othersFade = 2 * time.Second
 	// slowWeight is the weight of the newest answer in a target's slowness.
 	slowWeight = 0.2
@@ -70,7 +72,8 @@
 
 // load estimates the requests that run or wait at the target.
 func (t *target) load(now time.Time) float64 {
-	fresh := 1 - float64(now.Sub(t.reported))/float64(othersFade)
+	old := now.Sub(t.reported) - othersHold
+	fresh := min(1-float64(old)/float64(othersFade), 1)
 	return float64(t.running) + t.others*max(0, fresh)
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -43,7 +43,9 @@
 type peers struct {
 	mu    sync.Mutex
 	table *presence.Table
-	conn  *net.UDPConn
+	// read is set once the rows of all instances were read.
+	read bool
+	conn *net.UDPConn
 }
 
 func newPeers(self presence.Beat) *peers {
@@ -118,6 +120,14 @@
 	}
 }
 
+// counts returns the number of live instances and the names of all known ones;
+// read tells whether the rows of all instances were read.
+func (p *peers) counts(now time.Time) (live int, known []string, read bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.table.Live(now)), p.table.Names(), p.read
+}
+
 func (p *peers) live(now time.Time) []presence.Beat {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -131,14 +141,13 @@
 		Ready: g.ready(), Leaving: g.leaving.Load(),
 		Document: g.documents.version(), Registry: g.registry.version(),
 	})
-	live := g.peers.live(now)
-	names := make([]string, len(live))
-	for i, beat := range live {
-		names[i] = beat.Name
+	live, known, read := g.peers.counts(now)
+	if !read {
+		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.engine.SetPeers(names)
+	g.engine.SetInstances(live, known)
 }
 
 // keepMembership writes the own row, reads those of others and sends
@@ -185,6 +194,7 @@
 	}
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
+	g.peers.read = true
 	for _, m := range members {
 		g.peers.table.Learn(presence.Beat{Name: m.Name, Zone: m.Zone, Requests: m.Requests, Peers: m.Peers, Boot: m.Boot})
 	}
