--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -31,12 +31,12 @@
 	// members are the names of all known instances, live or not.
 	members      []string
 	membersKnown bool
-	budgets   map[string]*budget
-	suspects  suspects
-	warm      warmth
-	learned   map[durationKey]*durations
-	trips     map[string]time.Duration
-	spills    map[string]*spill
+	budgets      map[string]*budget
+	suspects     suspects
+	warm         warmth
+	learned      map[durationKey]*durations
+	trips        map[string]time.Duration
+	spills       map[string]*spill
 	// credits hold the weighted round robin of each split route.
 	credits map[string][]int
 }
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -21,10 +21,10 @@
 	otherCost  = 80 * time.Millisecond
 	// zoneByteCost and regionByteCost are the time that a byte between zones
 	// or regions is worth: such links are narrow and priced.
-	zoneByteCost   = 3 * time.Microsecond
+	zoneByteCost   = 8 * time.Microsecond
 	regionByteCost = 5 * time.Microsecond
-	// envelopeBytes is the size of a small request with its answer.
-	envelopeBytes = 1000
+	// envelopeBytes is the size of the headers of a request and its answer.
+	envelopeBytes = 600
 	// wayScale is the price of the way at which a target gets half as many
 	// homes as one nearby.
 	wayScale = 50 * time.Millisecond
@@ -170,7 +170,7 @@
 
 // wayCost is the price of the bytes to another zone.
 func (e *Engine) wayCost(r *Request, t *target) time.Duration {
-	bytes := time.Duration(envelopeBytes + r.BodyBytes)
+	bytes := time.Duration(envelopeBytes + r.BodyBytes + int(e.durationsOf(r).bytes))
 	switch {
 	case t.Zone == e.self.Zone:
 		return 0
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -219,8 +219,8 @@
 	Load   *Load
 	// ColdFor is set if the target said that it is cold.
 	ColdFor time.Duration
-	// Leaving is set if the target announced that it leaves.
-	Leaving bool
+	// AnswerBytes is the size of the answer's body.
+	AnswerBytes int
 }
 
 // Finish takes in the end of an exchange and decides whether the request is
@@ -260,7 +260,7 @@
 	elapsed := now.Sub(s.at)
 	switch ended.Result {
 	case Answered:
-		e.succeeded(now, r, s, elapsed)
+		e.succeeded(now, r, s, ended)
 	case Failed:
 		t.failing.refused()
 	case Shed:
@@ -284,9 +284,10 @@
 	}
 }
 
-func (e *Engine) succeeded(now time.Time, r *Request, s *Send, elapsed time.Duration) {
-	t := s.target
+func (e *Engine) succeeded(now time.Time, r *Request, s *Send, ended Ended) {
+	t, elapsed := s.target, now.Sub(s.at)
 	t.failing.succeeded()
+	e.durationsOf(r).learnSize(ended.AnswerBytes)
 	e.suspects.succeeded(r.Fingerprint)
 	if !s.waiting {
 		work := max(elapsed-e.distance(t), 0)
--- a/core/steer/warm.go
+++ b/core/steer/warm.go
@@ -50,6 +50,8 @@
 // durations are the mean times that a service needs for a route's requests.
 type durations struct {
 	warm, cold time.Duration
+	// bytes is the mean size of an answer.
+	bytes float64
 }
 
 func (d *durations) learn(took time.Duration, warm bool) {
@@ -60,6 +62,10 @@
 	*mean += time.Duration(durationWeight * float64(took-*mean))
 }
 
+func (d *durations) learnSize(bytes int) {
+	d.bytes += durationWeight * (float64(bytes) - d.bytes)
+}
+
 // expected mixes both times by the chance that the object is warm.
 func (d *durations) expected(chance float64) time.Duration {
 	return d.cold + time.Duration(chance*float64(d.warm-d.cold))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -220,8 +220,9 @@
 // classify tells what a whole answer means.
 func classify(a *answer, s *steer.Send) steer.Ended {
 	ended := steer.Ended{
-		Load:    platform.ParseLoad(a.header.Peek(platform.HeaderLoad)),
-		ColdFor: platform.ParseColdFor(a.header.Peek(platform.HeaderColdFor)),
+		AnswerBytes: len(a.body),
+		Load:        platform.ParseLoad(a.header.Peek(platform.HeaderLoad)),
+		ColdFor:     platform.ParseColdFor(a.header.Peek(platform.HeaderColdFor)),
 	}
 	status := a.header.StatusCode()
 	switch {
