--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -37,8 +37,9 @@
 	// current is the exchange that ends when the caller leaves.
 	current *exchange
 	gone    bool
-	// busy is set from the first byte of a request to the end of its answer.
-	busy bool
+	// serving is set while a request is read and answered, pending once the
+	// first byte of the next one has arrived.
+	serving, pending bool
 }
 
 // callers holds the open connections, so that a drain can end idle ones.
@@ -82,22 +83,36 @@
 	defer c.mu.Unlock()
 	c.ended = true
 	for conn := range c.open {
-		if !conn.isBusy() {
-			_ = conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		conn.endIfIdle()
+	}
+}
+
+// endIfIdle makes the wait for the next request fail. The lock keeps it from
+// failing the read of a request that has just begun.
+func (c *callerConn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.serving && !c.pending {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
 func (c *callerConn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	return c.serving || c.pending
+}
+
+func (c *callerConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.pending = true, false
 }
 
-func (c *callerConn) setBusy(busy bool) {
+func (c *callerConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	c.serving = false
 }
 
 // attach makes an exchange end when the caller leaves.
@@ -128,13 +143,23 @@
 func (c *callerConn) watch() {
 	go func() {
 		_, err := c.br.Peek(1)
-		if err != nil && !isTimeout(err) {
+		switch {
+		case err == nil:
+			c.setPending()
+		case !isTimeout(err):
 			c.leave()
 		}
 		c.next <- err
 	}()
 }
 
+// setPending notes that the next request has begun to arrive.
+func (c *callerConn) setPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = true
+}
+
 func (c *callerConn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,10 +197,10 @@
 		if err := <-c.next; err != nil {
 			return
 		}
-		c.setBusy(true)
 		var keep bool
+		c.begin()
 		keep, watching = c.serveRequest(limits)
-		c.setBusy(false)
+		c.end()
 		if !keep {
 			c.linger(watching)
 			return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -199,7 +199,8 @@
 			continue
 		}
 		g.callers.endIdle()
-		if _, busy := g.callers.count(); busy == 0 {
+		// A connection that is not yet closed may have begun a request.
+		if open, _ := g.callers.count(); open == 0 {
 			break
 		}
 	}
