steer: bound the part of a region's objects that changes its region

The weight of other regions fell while there was no traffic yet and then grew by 1.4 a step. Ruled out: instances that disagree (0.8 of an object's requests go to one target).

--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -34,6 +34,8 @@
 	crowdedFrom = 0.25
 	crowdedMost = 1.5
 	crowdedCost = 4.0
+	// leastWeight leaves each target a place in the order of homes.
+	leastWeight = 1e-6
 	// errorCost is the price of a target that fails all requests.
 	errorCost = 600 * time.Millisecond
 )
@@ -77,14 +79,9 @@
 // scarce: it takes the time of several requests that have their object at hand.
 // In a flood it keeps the objects where they are, and the surplus is refused.
 func (e *Engine) crowding(now time.Time, r *Request, targets []*target) time.Duration {
-	load, slots := 0.0, 0.0
-	for _, t := range targets {
-		if e.listed(now, t) && t.failing.ejections == 0 {
-			load += t.load(now)
-			slots += float64(t.Slots)
-		}
-	}
-	scarce := min(perSlot(load, slots)-crowdedFrom, crowdedMost)
+	own, others := e.regionLoads(now, targets)
+	all := sideLoad{load: own.load + others.load, slots: own.slots + others.slots}
+	scarce := min(all.perSlot()-crowdedFrom, crowdedMost)
 	if scarce <= 0 {
 		return 0
 	}
@@ -138,7 +135,7 @@
 func (e *Engine) weight(r *Request, t *target) float64 {
 	weight := 1 / (1 + float64(e.wayCost(r, t))/float64(wayScale))
 	if t.region != e.self.Region {
-		weight *= e.spillOf(r.Service).share
+		weight *= max(e.spillOf(r.Service).weight, leastWeight)
 	}
 	return weight
 }
