gateway: tests on real sockets against the stand-in; refuse requests with two framings

Cause: a request with both Content-Length and Transfer-Encoding was served by the latter alone; servers that heed the other see a second request in it. The race detector found a read of the own heartbeat without its lock.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -292,8 +292,11 @@
 }
 
 func (c *callerConn) badBody(header *fasthttp.RequestHeader, err error) (keep, watching bool) {
-	if errors.Is(err, errTooLarge) {
+	switch {
+	case errors.Is(err, errTooLarge):
 		return c.refuseUnread(header, fasthttp.StatusRequestEntityTooLarge, err)
+	case errors.Is(err, errTwoFrames):
+		return c.refuseUnread(header, fasthttp.StatusBadRequest, err)
 	}
 	return false, false
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,7 @@
 	g.requests = listen(g.node.Requests)
 	g.readiness = listen(g.node.Readiness)
 	g.lookups = listen(g.node.Lookups)
-	g.counters = listen(metricsAddress(g.node))
+	g.counters = listen(g.node.Metrics)
 	g.feeds = listen(peerAddress(g.node))
 	problems = append(problems, g.peers.listen())
 	return errors.Join(problems...)
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/platform/standin"
+)
+
+const testDocument = `{"version":"r%d","resources":[
+{"resource_kind":"routes","metadata":{"name":"read"},"spec":{"host":"h.example","prefix":"/read/","kind":"idempotent","timeout":"700ms","aim":"300ms","priority":1,"service":"s","max_attempts":2,"session_affinity":true}},
+{"resource_kind":"routes","metadata":{"name":"order"},"spec":{"host":"h.example","prefix":"/order/","kind":"non_idempotent","timeout":"700ms","aim":"400ms","priority":1,"service":"s","max_attempts":2}},
+{"resource_kind":"routes","metadata":{"name":"slow"},"spec":{"host":"h.example","prefix":"/slow/","kind":"non_idempotent","timeout":"8000ms","aim":"400ms","priority":1,"service":"s","max_attempts":2}},
+{"resource_kind":"services","metadata":{"name":"s"},"spec":{"health_path":"/health","max_conns":100,"warmup":"1s","cold_per_s":6}},
+{"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":8000000,"header_timeout":"1000ms","idle_timeout":"3000ms"}}]}`
+
+// freePorts returns ports that are free for TCP and UDP on 127.0.0.1.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	var ports []int
+	var holders []io.Closer
+	for len(ports) < n {
+		tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		holders = append(holders, tcp)
+		port := tcp.Addr().(*net.TCPAddr).Port
+		udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil {
+			continue
+		}
+		holders = append(holders, udp)
+		ports = append(ports, port)
+	}
+	for _, holder := range holders {
+		_ = holder.Close()
+	}
+	return ports
+}
+
+// site is a store with targets and instances on loopback addresses.
+type site struct {
+	t     *testing.T
+	store *standin.Store
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	store, err := standin.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	s := &site{t: t, store: store}
+	s.setDocument(1)
+	return s
+}
+
+func (s *site) setDocument(version int) {
+	s.store.Put("op", "config", fmt.Appendf(nil, testDocument, version))
+}
+
+func (s *site) register(id, address, state string, sequence int) {
+	s.store.Put("servers", id, fmt.Appendf(nil,
+		`{"address":%q,"born":1,"info":{"service":"s","zone":"za","capacity":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`,
+		address, state, sequence))
+}
+
+// instance starts a gateway of zone za.
+func (s *site) instance(name string) *Gateway {
+	s.t.Helper()
+	ports := freePorts(s.t, 5)
+	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
+	g := New(&platform.Node{
+		Name: name, Address: "127.0.0.1", Zone: "za", Region: "ra",
+		Zones:    map[string]string{"za": "ra", "zb": "rb"},
+		Requests: address(0), Readiness: address(1), Lookups: address(2), PeerPort: ports[3], Metrics: address(4),
+		Store: s.store.Address(),
+		Bounds: platform.Bounds{RepeatRatio: 0.2, RepeatExtra: 60, RepeatWindow: 10 * time.Second,
+			LookupTTL: 5 * time.Second, Grace: 6 * time.Second},
+	})
+	if err := g.Provision(); err != nil {
+		s.t.Fatal(err)
+	}
+	g.Start()
+	s.t.Cleanup(g.Cleanup)
+	s.wait("ready", func() bool { return g.ready() })
+	return g
+}
+
+// wait polls until a condition holds; the limit is generous for a busy machine.
+func (s *site) wait(what string, condition func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	s.t.Fatalf("%s did not come about", what)
+}
+
+// targets waits until an instance knows a number of targets.
+func (s *site) targets(g *Gateway, n int) {
+	s.t.Helper()
+	s.wait("number of targets", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.engine.Tick(time.Now())
+		return g.engine.Targets() == n
+	})
+}
+
+// seen is a request that arrived at a target.
+type seen struct {
+	line   string
+	header http.Header
+	body   []byte
+}
+
+// target is a scripted upstream: script answers each request on its
+// connection, and returns false to close it.
+type target struct {
+	id       string
+	listener net.Listener
+	script   func(conn net.Conn, r *seen) bool
+
+	mu       sync.Mutex
+	requests []*seen
+	closed   int
+}
+
+// target starts an upstream and registers it.
+func (s *site) target(id string, script func(net.Conn, *seen) bool) *target {
+	s.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	u := &target{id: id, listener: listener, script: script}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn)
+		}
+	}()
+	s.register(id, listener.Addr().String(), "ready", 1)
+	return u
+}
+
+func (u *target) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(br)
+		if err != nil {
+			u.mu.Lock()
+			u.closed++
+			u.mu.Unlock()
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		r := &seen{line: request.Method + " " + request.RequestURI, header: request.Header, body: body}
+		r.header.Set("Host", request.Host)
+		u.mu.Lock()
+		u.requests = append(u.requests, r)
+		u.mu.Unlock()
+		if !u.script(conn, r) {
+			return
+		}
+	}
+}
+
+func (u *target) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.requests)
+}
+
+func (u *target) closes() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.closed
+}
+
+// whole writes a complete answer with the request's id and the MAC.
+func whole(conn net.Conn, r *seen, status int, body string, fields ...string) bool {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n", status, r.header.Get("X-Request-Id"), len(body))
+	if status < 300 {
+		b.WriteString("X-Server-Seal: mac\r\n")
+	}
+	for _, field := range fields {
+		b.WriteString(field + "\r\n")
+	}
+	b.WriteString("\r\n" + body)
+	_, err := conn.Write(b.Bytes())
+	return err == nil
+}
+
+func ok(conn net.Conn, r *seen) bool { return whole(conn, r, 200, "body of "+r.line) }
+
+func shed(conn net.Conn, r *seen) bool {
+	return whole(conn, r, 503, "full", "X-Not-Executed: 1", "X-Server-Load: 3,9,3")
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	br   *bufio.Reader
+	last int
+}
+
+func (s *site) caller(g *Gateway) *caller {
+	s.t.Helper()
+	conn, err := net.Dial("tcp4", g.node.Requests)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t: s.t, conn: conn, br: bufio.NewReader(conn)}
+}
+
+// send writes a request; fields are further header lines.
+func (c *caller) send(method, path, body string, fields ...string) string {
+	c.t.Helper()
+	c.last++
+	id := fmt.Sprintf("id-%d", c.last)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: H.example\r\nX-Request-Id: %s\r\n", method, path, id)
+	if body != "" && !strings.Contains(strings.Join(fields, ""), "chunked") {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	for _, field := range fields {
+		text += field + "\r\n"
+	}
+	if _, err := io.WriteString(c.conn, text+"\r\n"+body); err != nil {
+		c.t.Fatal(err)
+	}
+	return id
+}
+
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (c *caller) receive() got {
+	_ = c.conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	response, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return got{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	if response.Close {
+		response.Header.Set("Connection", "close")
+	}
+	return got{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (c *caller) ask(method, path, body string, fields ...string) got {
+	c.t.Helper()
+	c.send(method, path, body, fields...)
+	return c.receive()
+}
+
+func get(t *testing.T, address, path string) got {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return got{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return got{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
--- /dev/null
+++ b/gateway/heartbeat_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachioford.example/core/presence"
+)
+
+var testBeat = presence.Beat{
+	Name: "front-gau-a-10", Zone: "gau-a", Requests: "10.10.10.15:8641", Peers: "10.10.10.15:7620",
+	Boot: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano(), Count: 1 << 20, Ready: true, Leaving: true,
+	Document: 1 << 30, Registry: 1 << 30,
+}
+
+// Guards against heartbeats that outgrow the traffic that is planned for them.
+func TestHeartbeatIsSmall(t *testing.T) {
+	is := is.New(t)
+	is.True(len(encodeHeartbeat(heartbeat{own: testBeat})) <= 90)
+}
+
+func TestHeartbeatRoundTrip(t *testing.T) {
+	is := is.New(t)
+	sent := heartbeat{own: testBeat, others: []presence.Beat{{Name: "b"}, testBeat}}
+	received, err := decodeHeartbeat(encodeHeartbeat(sent))
+	is.NoErr(err)
+	is.Equal(received, sent)
+	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01"} {
+		_, err := decodeHeartbeat([]byte(bad))
+		is.True(err != nil)
+	}
+}
+
+func FuzzDecodeHeartbeat(f *testing.F) {
+	f.Add(encodeHeartbeat(heartbeat{own: testBeat, others: []presence.Beat{testBeat}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := decodeHeartbeat(data)
+		if err == nil && h.own.Name == "" {
+			t.Fatal("a heartbeat without a sender")
+		}
+	})
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -171,6 +171,8 @@
 }
 
 func (g *Gateway) member() platform.Member {
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
 	self := g.peers.table.Self()
 	return platform.Member{Name: self.Name, Requests: self.Requests, Peers: self.Peers, Zone: self.Zone, Boot: self.Boot}
 }
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -27,6 +27,7 @@
 
 var (
 	errTooLarge  = errors.New("the body is larger than the limit")
+	errTwoFrames = errors.New("the request has both Content-Length and Transfer-Encoding")
 	errCallerCut = errors.New("the caller closed before the end of its body")
 	errAnswer    = errors.New("malformed answer")
 	errEncoded   = errors.New("the answer has a content encoding that nobody asked for")
@@ -52,6 +53,8 @@
 		return body{}, nil
 	case declared > limit:
 		return body{}, errTooLarge
+	case declared == -1 && hasLength(header):
+		return body{}, errTwoFrames
 	case declared == -1:
 		return readChunkedBody(br, limit)
 	}
@@ -66,6 +69,12 @@
 	return b, nil
 }
 
+// hasLength tells whether a chunked request also states a length. Servers that
+// heed one or the other see different requests.
+func hasLength(header *fasthttp.RequestHeader) bool {
+	return bytes.Contains(bytes.ToLower(header.RawHeaders()), []byte("content-length:"))
+}
+
 func readChunkedBody(br *bufio.Reader, limit int) (body, error) {
 	chunks := &chunkedBody{chunks: httputil.NewChunkedReader(br), br: br}
 	held, err := io.ReadAll(io.LimitReader(chunks, heldBytes+1))
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,18 +12,9 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/steer"
-	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
 )
 
-// metricsPort is where counters are served on every machine; deploy/system.toml
-// names the same one.
-const metricsPort = 9180
-
-func metricsAddress(node *platform.Node) string {
-	return net.JoinHostPort(node.Address, strconv.Itoa(metricsPort))
-}
-
 // Range and precision of the latency histograms.
 const (
 	histogramMostMS = 60_000
