--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -15,10 +15,8 @@
 	// homeChance is the assumed chance that an object is at hand at its home
 	// target if this instance has not sent it there lately.
 	homeChance = 0.7
-	// secondCost and otherCost keep an object that leaves its home together on
-	// its second choice.
-	secondCost = 20 * time.Millisecond
-	otherCost  = 80 * time.Millisecond
+	// places is the number of targets in an object's order that it may use.
+	places = 3
 	// zoneByteCost and regionByteCost are the time that a byte between zones
 	// or regions is worth: such links are narrow and priced.
 	zoneByteCost   = 8 * time.Microsecond
@@ -40,9 +38,14 @@
 	errorCost = 600 * time.Millisecond
 )
 
+// placeCosts keep an object that leaves its home together on one target.
+var placeCosts = [places]time.Duration{0, 20 * time.Millisecond, 80 * time.Millisecond}
+
 // choice is the target chosen for a request.
 type choice struct {
 	target *target
+	// place is the target's place in the object's order, places if it has none.
+	place int
 	// cost is the expected time to the answer with the price of the way.
 	cost time.Duration
 	// wait is the part of cost that the request spends in the target's queue.
@@ -50,28 +53,38 @@
 }
 
 // choose returns the target with the least cost; its target is nil if none may
-// get the request.
+// get the request. An object that cannot use its home stays among the next few
+// targets in its order: elsewhere it would push out objects that are at home.
 func (e *Engine) choose(now time.Time, r *Request) choice {
 	targets := e.byService[r.Service]
-	home, second := e.homes(now, r, targets)
+	order := e.homes(now, r, targets)
 	crowded := e.crowding(now, r, targets)
 	best := choice{cost: math.MaxInt64}
-	for _, t := range targets {
-		if !e.may(now, r, t) {
+	for place, t := range order {
+		if t == nil || !e.may(now, r, t) {
 			continue
 		}
-		c := e.weigh(now, r, t, home)
-		switch {
-		case r.Object == 0 || t == home:
-		case t == second:
-			c.cost += secondCost + crowded
-		default:
-			c.cost += otherCost + crowded
+		c := e.weigh(now, r, t, order[0])
+		c.place = place
+		if place > 0 {
+			c.cost += placeCosts[place] + crowded
 		}
 		if c.cost < best.cost {
 			best = c
 		}
 	}
+	if best.target != nil {
+		return best
+	}
+	for _, t := range targets {
+		if !e.may(now, r, t) {
+			continue
+		}
+		if c := e.weigh(now, r, t, order[0]); c.cost < best.cost {
+			c.place = len(order)
+			best = c
+		}
+	}
 	return best
 }
 
@@ -106,12 +119,12 @@
 		(t.goneAt.IsZero() || now.Before(t.goneAt))
 }
 
-// homes returns the object's home target and the one after it.
-func (e *Engine) homes(now time.Time, r *Request, targets []*target) (home, second *target) {
+// homes returns the object's home target and those after it in its order.
+func (e *Engine) homes(now time.Time, r *Request, targets []*target) (order [places]*target) {
 	if r.Object == 0 {
-		return nil, nil
+		return order
 	}
-	least, next := math.Inf(1), math.Inf(1)
+	scores := [places]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
 	for _, t := range targets {
 		if !e.listed(now, t) || !r.allows(t.region) || t.failing.ejections > 0 {
 			continue
@@ -120,15 +133,17 @@
 		// proportional to the weight.
 		unit := (float64(mix(r.Object, t.hash)) + 1) / math.MaxUint64
 		score := -math.Log(unit) / e.weight(r, t)
-		switch {
-		case score < least:
-			home, second = t, home
-			least, next = score, least
-		case score < next:
-			second, next = t, score
+		for place := range order {
+			if score < scores[place] {
+				score, scores[place] = scores[place], score
+				t, order[place] = order[place], t
+			}
+			if t == nil {
+				break
+			}
 		}
 	}
-	return home, second
+	return order
 }
 
 // weight is the share of objects that a target is home to.
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -48,6 +48,8 @@
 	// instance, Load how many requests are expected there.
 	Warm bool
 	Load float64
+	// Place is the target's place in the object's order, 0 for its home.
+	Place int
 	// Attempt counts from 1.
 	Attempt int
 
@@ -143,7 +145,7 @@
 	d := e.durationsOf(r)
 	s := Send{
 		Target: t.ID, Address: t.Address, Zone: t.Zone, Attempt: len(r.tried) + 1,
-		Expected: c.cost, target: t, at: now,
+		Expected: c.cost, Place: c.place, target: t, at: now,
 		Warm:    e.warm.has(now, r.Object, t),
 		Load:    t.load(now),
 		waiting: t.load(now) >= float64(t.Slots),
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -92,7 +92,7 @@
 	g.metrics.latency(r.Route.Name, took)
 	telemetry.Event("served", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("zone", s.Zone), telemetry.F("attempt", s.Attempt),
-		telemetry.F("object", strconv.FormatUint(r.Object, 36)), telemetry.F("warm", s.Warm),
+		telemetry.F("object", strconv.FormatUint(r.Object, 36)), telemetry.F("place", s.Place), telemetry.F("warm", s.Warm),
 		telemetry.F("load", strconv.FormatFloat(s.Load, 'f', 1, 64)),
 		telemetry.F("expected_ms", s.Expected.Milliseconds()), telemetry.F("took_ms", took.Milliseconds()),
 		telemetry.F("status", status))
