--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -16,7 +16,7 @@
 	// target if this instance has not sent it there lately.
 	homeChance = 0.7
 	// places is the number of targets in an object's order that it may use.
-	places = 3
+	places = 2
 	// zoneByteCost and regionByteCost are the time that a byte between zones
 	// or regions is worth: such links are narrow and priced.
 	zoneByteCost   = 8 * time.Microsecond
@@ -39,7 +39,7 @@
 )
 
 // placeCosts keep an object that leaves its home together on one target.
-var placeCosts = [places]time.Duration{0, 20 * time.Millisecond, 80 * time.Millisecond}
+var placeCosts = [places]time.Duration{0, 20 * time.Millisecond}
 
 // choice is the target chosen for a request.
 type choice struct {
@@ -124,7 +124,7 @@
 	if r.Object == 0 {
 		return order
 	}
-	scores := [places]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
+	scores := [places]float64{math.Inf(1), math.Inf(1)}
 	for _, t := range targets {
 		if !e.listed(now, t) || !r.allows(t.region) || t.failing.ejections > 0 {
 			continue
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -20,7 +20,7 @@
 	// behindTime is how long news of others may be on their way here too.
 	behindTime = 400 * time.Millisecond
 	// feedPause gathers changes that come close together into one call.
-	feedPause = 150 * time.Millisecond
+	feedPause = 350 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
