Explain a request from log files; tell other instances of crashing requests; bound the log

pistachioctl explain ID FILE... orders what all instances wrote of a request and of the targets it met. Lines of refusals and failed exchanges carry the inputs that decided them, with their age.

--- a/cmd/pistachioctl/commands.go
+++ b/cmd/pistachioctl/commands.go
@@ -32,6 +32,7 @@
 		{name: "status", description: "Ask the instances which revision each has active.", define: defineStatus, run: status},
 		{name: "blocks", description: "Upload client blocks and make them active.", define: defineBlocks, run: upload},
 		{name: "drain", description: "Give a target no new work.", define: defineDrain, run: drain(true)},
+		{name: "explain", description: "Tell the story of a request from log files: explain ID FILE...", define: defineExplain, run: explain},
 		{name: "undrain", description: "Give a target work again.", define: defineDrain, run: drain(false)},
 	}
 }
@@ -91,6 +92,20 @@
 	changeFlags(f, o)
 }
 
+func defineExplain(f *flaggy.Subcommand, o *options) {
+	f.AddPositionalValue(&o.args[0], "ID", 1, true, "Id of the request.")
+	f.AddPositionalValue(&o.args[1], "FILE...", 2, true, "Log files of instances.")
+	for i := 2; i < maxArguments; i++ {
+		f.AddPositionalValue(&o.args[i], "FILE"+strconv.Itoa(i), i+1, false, "")
+		f.PositionalFlags[i].Hidden = true
+	}
+}
+
+func explain(_ context.Context, o *options) (any, error) {
+	arguments := o.arguments()
+	return operate.Explain(arguments[0], arguments[1:])
+}
+
 func defineBlocks(f *flaggy.Subcommand, o *options) {
 	f.AddPositionalValue(&o.args[0], "CSV", 1, true, "File with lines prefix,site.")
 	changeFlags(f, o)
--- a/cmd/pistachioctl/print.go
+++ b/cmd/pistachioctl/print.go
@@ -65,6 +65,8 @@
 	case *operate.Shown:
 		_, err := io.WriteString(o.out, r.Marked())
 		return err
+	case *operate.Story:
+		return printStory(o.out, r)
 	case []operate.Record:
 		return printHistory(o.out, r)
 	case *operate.Status:
@@ -164,3 +166,18 @@
 	fmt.Fprintf(table, "newest revision %d, platform %s\n", s.Newest, s.Platform)
 	return table.Flush()
 }
+
+// printStory marks lines that are not about the request itself.
+func printStory(out io.Writer, story *operate.Story) error {
+	for _, line := range story.Lines {
+		mark := "  "
+		if !line.Context {
+			mark = "> "
+		}
+		if _, err := fmt.Fprintf(out, "%s%s: %s\n", mark, line.File, line.Text); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "%s: %s\n", story.Request, story.Outcome)
+	return err
+}
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -88,7 +88,7 @@
 	}
 	is.True(crash() == nil)
 	first := e.suspects.table[mix(5, 7)]
-	is.Equal(first.breaks, 1)
+	is.Equal(len(first.targets), 1)
 	for range crashLimit + 2 {
 		if refusal := crash(); refusal != nil {
 			is.Equal(refusal.Reason, ReasonCrasher)
@@ -98,6 +98,37 @@
 	t.Fatal("the request still reaches targets")
 }
 
+// Guards against copies of a crashing request that go on at other instances.
+func TestBreaksCountAcrossInstances(t *testing.T) {
+	is := is.New(t)
+	var engines []*Engine
+	for i := range crashLimit {
+		e := testEngine(t, fmt.Sprintf("i%d", i), "a1")
+		addTargets(e, "s", 6, "a1")
+		engines = append(engines, e)
+	}
+	hit := map[TargetID]bool{}
+	for _, e := range engines {
+		r := newTestRequest(e, start, "/order/1", 5)
+		r.tried = append(r.tried, "s-a1-0")
+		for id := range hit {
+			r.tried = append(r.tried, id)
+		}
+		s := mustSend(t, e, start, r)
+		hit[s.Target] = true
+		_, _ = finish(e, start, r, s, Broken)
+		for _, other := range engines {
+			other.HearBreaks(start, e.Breaks(start))
+		}
+		is.Equal(len(e.Breaks(start)), 1)
+		is.Equal(len(e.Breaks(start.Add(newsAge+time.Second))), 0)
+	}
+	for _, e := range engines {
+		_, refusal := e.Arrive(start, newTestRequest(e, start, "/order/1", 5))
+		is.Equal(refusal.Reason, ReasonCrasher)
+	}
+}
+
 func TestOneTargetsDeathMakesNoCrasher(t *testing.T) {
 	is := is.New(t)
 	e := testEngine(t, "i", "a1")
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -48,6 +48,8 @@
 	// instance, Load how many requests are expected there.
 	Warm bool
 	Load float64
+	// LoadAge is the age of the target's last own report.
+	LoadAge time.Duration
 	// Place is the target's place in the object's order, 0 for its home.
 	Place int
 	// Attempt counts from 1.
@@ -98,10 +100,18 @@
 	return reasons
 }
 
-// Refusal says that a request is not sent, and when it may come back.
+// Refusal says that a request is not sent, and when it may come back. What
+// decided it is set where a target was chosen first.
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Best is the target that would have been the best choice.
+	Best TargetID
+	// Expected is the time that its answer would take, Load and LoadAge are
+	// what is known of its requests.
+	Expected time.Duration
+	Load     float64
+	LoadAge  time.Duration
 }
 
 const (
@@ -140,7 +150,10 @@
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: emptyRetry}
 	}
 	if c.wait > 0 && c.cost-e.wayCost(r, t) > e.patience(now, r) {
-		return Send{}, &Refusal{Reason: ReasonTooLate, RetryAfter: max(soonRetry, c.wait/2)}
+		return Send{}, &Refusal{
+			Reason: ReasonTooLate, RetryAfter: max(soonRetry, c.wait/2),
+			Best: t.ID, Expected: c.cost - e.wayCost(r, t), Load: t.load(now), LoadAge: t.reportAge(now),
+		}
 	}
 	d := e.durationsOf(r)
 	s := Send{
@@ -148,6 +161,7 @@
 		Expected: c.cost, Place: c.place, target: t, at: now,
 		Warm:    e.warm.has(now, r.Object, t),
 		Load:    t.load(now),
+		LoadAge: t.reportAge(now),
 		waiting: t.load(now) >= float64(t.Slots),
 	}
 	if e.document != nil {
@@ -277,7 +291,9 @@
 		t.failing.failed(now, true)
 	case Broken:
 		t.failing.failed(now, false)
-		e.suspects.broke(now, r.Fingerprint, t.ID)
+		if b := (Break{Fingerprint: r.Fingerprint, Target: t.hash}); e.suspects.broke(now, b) {
+			e.suspects.tell(now, b)
+		}
 	case TimedOut:
 		t.failing.failed(now, false)
 		t.took(now, elapsed, s.expected)
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -77,6 +77,14 @@
 	return float64(t.running) + t.others*max(0, fresh)
 }
 
+// reportAge is the age of the target's last own report, or 0 if there is none.
+func (t *target) reportAge(now time.Time) time.Duration {
+	if t.reported.IsZero() {
+		return 0
+	}
+	return now.Sub(t.reported)
+}
+
 // report takes in the target's own count of its running and waiting requests;
 // own is what this instance had there at that time.
 func (t *target) report(now time.Time, total, own int) {
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"pistachioford.example/core/presence"
+	"pistachioford.example/core/steer"
 )
 
 // heartbeat is the message between instances, in protobuf's wire format. It is
@@ -13,14 +14,20 @@
 type heartbeat struct {
 	own    presence.Beat
 	others []presence.Beat
+	// breaks are exchanges in which a target broke off.
+	breaks []steer.Break
 }
 
 // Fields of a heartbeat. Others are copies of other instances' beats.
 const (
 	fieldOwn protowire.Number = iota + 1
 	fieldOther
+	fieldBreak
 )
 
+// breakBytes is the length of an encoded break: two fixed numbers.
+const breakBytes = 16
+
 // Fields of a beat.
 const (
 	fieldName protowire.Number = iota + 1
@@ -44,6 +51,12 @@
 	for _, beat := range h.others {
 		message = appendBeat(message, fieldOther, beat)
 	}
+	for _, b := range h.breaks {
+		message = protowire.AppendTag(message, fieldBreak, protowire.BytesType)
+		message = protowire.AppendVarint(message, breakBytes)
+		message = protowire.AppendFixed64(message, b.Fingerprint)
+		message = protowire.AppendFixed64(message, b.Target)
+	}
 	return message
 }
 
@@ -87,6 +100,14 @@
 			return heartbeat{}, errHeartbeat
 		}
 		message = message[n+m:]
+		if number == fieldBreak {
+			b, err := decodeBreak(body)
+			if err != nil {
+				return heartbeat{}, err
+			}
+			h.breaks = append(h.breaks, b)
+			continue
+		}
 		beat, err := decodeBeat(body)
 		if err != nil {
 			return heartbeat{}, err
@@ -104,6 +125,18 @@
 	return h, nil
 }
 
+func decodeBreak(body []byte) (steer.Break, error) {
+	fingerprint, n := protowire.ConsumeFixed64(body)
+	if n < 0 || len(body) != breakBytes {
+		return steer.Break{}, errHeartbeat
+	}
+	target, n := protowire.ConsumeFixed64(body[n:])
+	if n < 0 {
+		return steer.Break{}, errHeartbeat
+	}
+	return steer.Break{Fingerprint: fingerprint, Target: target}, nil
+}
+
 func decodeBeat(body []byte) (presence.Beat, error) {
 	var b presence.Beat
 	for len(body) > 0 {
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"pistachioford.example/core/presence"
+	"pistachioford.example/core/steer"
 )
 
 var testBeat = presence.Beat{
@@ -23,11 +24,12 @@
 
 func TestHeartbeatRoundTrip(t *testing.T) {
 	is := is.New(t)
-	sent := heartbeat{own: testBeat, others: []presence.Beat{{Name: "b"}, testBeat}}
+	sent := heartbeat{own: testBeat, others: []presence.Beat{{Name: "b"}, testBeat},
+		breaks: []steer.Break{{Fingerprint: 1 << 63, Target: 7}}}
 	received, err := decodeHeartbeat(encodeHeartbeat(sent))
 	is.NoErr(err)
 	is.Equal(received, sent)
-	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01"} {
+	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01", "\x1a\x02ab"} {
 		_, err := decodeHeartbeat([]byte(bad))
 		is.True(err != nil)
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioford.example/core/presence"
+	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
 )
@@ -60,7 +61,7 @@
 }
 
 // send sends one heartbeat.
-func (p *peers) send(now time.Time, state presence.State) {
+func (p *peers) send(now time.Time, state presence.State, breaks []steer.Break) {
 	p.mu.Lock()
 	p.table.SetState(state)
 	own, sendings := p.table.Next(now)
@@ -68,7 +69,7 @@
 	for _, sending := range sendings {
 		peer, err := net.ResolveUDPAddr("udp4", sending.To)
 		if err == nil {
-			_, err = p.conn.WriteToUDP(encodeHeartbeat(heartbeat{own: own, others: sending.Copies}), peer)
+			_, err = p.conn.WriteToUDP(encodeHeartbeat(heartbeat{own: own, others: sending.Copies, breaks: breaks}), peer)
 		}
 		if err != nil {
 			telemetry.Debug("heartbeat_not_sent", telemetry.F("peer", sending.To), telemetry.F("error", err))
@@ -100,6 +101,11 @@
 	defer g.peers.mu.Unlock()
 	g.documents.heard(message.own.Document)
 	g.registry.heard(message.own.Registry)
+	if len(message.breaks) > 0 {
+		g.mu.Lock()
+		g.engine.HearBreaks(now, message.breaks)
+		g.mu.Unlock()
+	}
 	for _, beat := range append(message.others, message.own) {
 		if g.peers.table.Hear(now, beat) {
 			telemetry.Event("instance_live", telemetry.F("instance", beat.Name), telemetry.F("zone", beat.Zone))
@@ -124,10 +130,13 @@
 // beat sends a heartbeat and tells the engine who is alive.
 func (g *Gateway) beat() {
 	now := time.Now()
+	g.mu.Lock()
+	breaks := g.engine.Breaks(now)
+	g.mu.Unlock()
 	g.peers.send(now, presence.State{
 		Ready: g.ready(), Leaving: g.leaving.Load(),
 		Document: g.documents.version(), Registry: g.registry.version(),
-	})
+	}, breaks)
 	live, known, read := g.peers.counts(now)
 	if !read {
 		return
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -90,10 +90,10 @@
 	took := time.Since(r.arrived)
 	g.metrics.count(fmt.Sprintf(`requests_total{route=%q,status="%d"}`, r.Route.Name, status))
 	g.metrics.latency(r.Route.Name, took)
-	telemetry.Event("served", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
+	telemetry.Routine("served", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("zone", s.Zone), telemetry.F("attempt", s.Attempt),
 		telemetry.F("object", strconv.FormatUint(r.Object, 36)), telemetry.F("place", s.Place), telemetry.F("warm", s.Warm),
-		telemetry.F("load", strconv.FormatFloat(s.Load, 'f', 1, 64)),
+		telemetry.F("load", oneDigit(s.Load)), telemetry.F("load_age_ms", s.LoadAge.Milliseconds()),
 		telemetry.F("expected_ms", s.Expected.Milliseconds()), telemetry.F("took_ms", took.Milliseconds()),
 		telemetry.F("status", status))
 }
@@ -106,17 +106,45 @@
 	telemetry.Event("exchange_failed", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("address", s.Address), telemetry.F("zone", s.Zone),
 		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("error", out.err),
+		telemetry.F("load", oneDigit(s.Load)), telemetry.F("load_age_ms", s.LoadAge.Milliseconds()),
+		telemetry.F("expected_ms", s.Expected.Milliseconds()), telemetry.F("document", g.documentVersion()),
 		telemetry.F("took_ms", time.Since(r.arrived).Milliseconds()), telemetry.F("repeated", repeated))
 }
 
-// logRefused reports a request that got no target's answer.
-func (g *Gateway) logRefused(r *request, status int, reason string) {
+func oneDigit(value float64) string { return strconv.FormatFloat(value, 'f', 1, 64) }
+
+// documentVersion is 0 before the first document.
+func (g *Gateway) documentVersion() uint64 {
+	if doc := g.document.Load(); doc != nil {
+		return doc.Version
+	}
+	return 0
+}
+
+// logRefused reports a request that got no target's answer. fields are the
+// inputs that decided it.
+func (g *Gateway) logRefused(r *request, status int, reason string, fields ...telemetry.Field) {
 	g.metrics.count(fmt.Sprintf(`refusals_total{route=%q,status="%d",reason=%q}`, routeName(r), status, reason))
 	took := time.Duration(0)
 	if !r.arrived.IsZero() {
 		took = time.Since(r.arrived)
 	}
-	telemetry.Event("refused", telemetry.F("request", string(r.id)), telemetry.F("route", routeName(r)),
-		telemetry.F("service", r.Service), telemetry.F("status", status), telemetry.F("reason", reason),
-		telemetry.F("took_ms", took.Milliseconds()))
+	line := []telemetry.Field{
+		telemetry.F("request", string(r.id)), telemetry.F("route", routeName(r)), telemetry.F("service", r.Service),
+		telemetry.F("status", status), telemetry.F("reason", reason), telemetry.F("took_ms", took.Milliseconds()),
+		telemetry.F("document", g.documentVersion()), telemetry.F("store_age_ms", g.store.age(time.Now()).Milliseconds()),
+	}
+	telemetry.Event("refused", append(line, fields...)...)
+}
+
+// refusalFields are the inputs of a refusal.
+func refusalFields(refusal *steer.Refusal) []telemetry.Field {
+	if refusal.Best == "" {
+		return nil
+	}
+	return []telemetry.Field{
+		telemetry.F("best", refusal.Best), telemetry.F("expected_ms", refusal.Expected.Milliseconds()),
+		telemetry.F("load", oneDigit(refusal.Load)), telemetry.F("load_age_ms", refusal.LoadAge.Milliseconds()),
+		telemetry.F("retry_after_ms", refusal.RetryAfter.Milliseconds()),
+	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -202,7 +202,7 @@
 	case r.MayHaveRun():
 		status = fasthttp.StatusBadGateway
 	}
-	g.logRefused(r, status, refusal.Reason.String())
+	g.logRefused(r, status, refusal.Reason.String(), refusalFields(refusal)...)
 	if status != fasthttp.StatusServiceUnavailable {
 		return ownReply(status, refusal.Reason.String(), 0)
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// age is the time since the last answer of the store or the relay.
+func (s *storeState) age(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answered.IsZero() {
+		return 0
+	}
+	return now.Sub(s.answered)
+}
+
 // current tells whether the document is known to be new.
 func (s *storeState) current(now time.Time) bool {
 	s.mu.Lock()
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 )
 
 const (
+	// routineLines bounds the lines of a flush period that report what went as
+	// it should; all others are kept as long as the buffer holds them.
+	routineLines = 500
 	// bufferBytes bounds the lines that wait to be written. Further lines are
 	// dropped and counted, since a reader that stalls must not stop requests.
 	bufferBytes = 1 << 20
@@ -23,10 +27,13 @@
 	mu      sync.Mutex
 	pending bytes.Buffer
 	dropped uint64
-	wake    chan struct{}
-	done    chan struct{}
-	ended   chan struct{}
-	to      io.Writer
+	// routine counts the routine lines since the last flush, omitted those
+	// beyond the limit.
+	routine, omitted uint64
+	wake             chan struct{}
+	done             chan struct{}
+	ended            chan struct{}
+	to               io.Writer
 }
 
 // NewWriter starts a Writer; Close ends it.
@@ -59,6 +66,18 @@
 	return w.dropped
 }
 
+// admitRoutine tells whether a routine line may be written.
+func (w *Writer) admitRoutine() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.routine >= routineLines {
+		w.omitted++
+		return false
+	}
+	w.routine++
+	return true
+}
+
 func (w *Writer) run() {
 	defer close(w.ended)
 	for {
@@ -84,6 +103,10 @@
 		lines = fmt.Appendf(lines, "%s\n", Line("log_lines_dropped", F("count", w.dropped)))
 		w.dropped = 0
 	}
+	if w.omitted > 0 {
+		lines = fmt.Appendf(lines, "%s\n", Line("log_lines_omitted", F("count", w.omitted)))
+	}
+	w.routine, w.omitted = 0, 0
 	w.mu.Unlock()
 	if len(lines) == 0 {
 		return
@@ -104,9 +127,22 @@
 	}
 }
 
+// active is the writer that LogTo set.
+var active atomic.Pointer[Writer]
+
+// Routine logs one line about something that went as it should. Under load
+// some of these lines are omitted and counted.
+func Routine(name string, fields ...Field) {
+	if w := active.Load(); w != nil && !w.admitRoutine() {
+		return
+	}
+	Event(name, fields...)
+}
+
 // LogTo makes all lines go to a Writer.
 func LogTo(w *Writer, level string) {
 	ConfigureLog(level)
+	active.Store(w)
 	klog.LogToStderr(false)
 	// klog writes an error to the outputs of all lower severities too.
 	klog.SetOutputBySeverity("INFO", w)
