gateway: an instance that starts while the store is away takes its state from its zone

Cause: a restart during an outage refused all requests until the store's return (TestStartWhileTheStoreIsAway failed first: not ready after 20 s).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -439,7 +439,7 @@
 	s.wait("relays", func() bool {
 		followers := 0
 		for _, g := range instances {
-			if _, relayed := g.sourceOf(false); relayed {
+			if _, relayed := g.sourceOf(false, true); relayed {
 				followers++
 			}
 		}
@@ -505,6 +505,28 @@
 	s.targets(g, 0)
 }
 
+// Guards against an instance that serves nothing when it starts while the
+// store is away, though its zone knows the document and the targets.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.target("i-1", ok)
+	a, b := s.instance("a"), s.instance("b")
+	s.targets(a, 1)
+	s.targets(b, 1)
+	s.wait("both instances", func() bool { return len(a.peers.live(time.Now())) == 1 })
+	node := *b.node
+	b.Cleanup()
+	s.store.SetFault(standin.Silent)
+	s.wait("lost store", func() bool { return !a.store.current(time.Now()) })
+	again := New(&node)
+	is.NoErr(again.Provision())
+	again.Start()
+	t.Cleanup(again.Cleanup)
+	s.wait("document and targets of the zone", again.ready)
+	is.Equal(s.caller(again).ask("GET", "/read/1", "").status, 200)
+}
+
 func TestMetricsAreServed(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -153,19 +153,36 @@
 	return now.Sub(r.distrusts) >= distrustTime
 }
 
-// sourceOf returns where the next call goes; relayed tells that it is a relay.
-func (g *Gateway) sourceOf(doubtful bool) (from source, relayed bool) {
+// sourceOf returns where the next call of a feed goes; relayed tells that it is
+// another instance. doubtful says that the last call failed, synced that the
+// feed was read before.
+func (g *Gateway) sourceOf(doubtful, synced bool) (from source, relayed bool) {
 	now := time.Now()
-	if doubtful || !g.relays.trusted(now) {
-		return g.client, false
+	live := g.peers.live(now)
+	address := ""
+	switch {
+	case doubtful && !synced:
+		// The store may be away while this instance starts.
+		address = rescuerOf(g.node.Zone, live)
+	case !doubtful && g.relays.trusted(now):
+		address = relayOf(g.node.Zone, g.node.Name, live)
 	}
-	address := relayOf(g.node.Zone, g.node.Name, g.peers.live(now))
 	if address == "" {
 		return g.client, false
 	}
 	return &relaySource{relays: g.relays, address: address}, true
 }
 
+// rescuerOf returns the address of a live instance of the zone, if there is one.
+func rescuerOf(zone string, live []presence.Beat) string {
+	for _, beat := range live {
+		if beat.Zone == zone && beat.Ready {
+			return beat.Peers
+		}
+	}
+	return ""
+}
+
 // relayOf returns the address of the zone's relay, or nothing if that is the
 // instance itself. All that see the same live instances choose the same.
 func relayOf(zone, self string, live []presence.Beat) string {
@@ -243,11 +260,15 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if _, relayed := g.sourceOf(false); relayed || !g.store.current(time.Now()) || g.leaving.Load() {
+	_, relayed := g.sourceOf(false, true)
+	rows, at, changed, whole := h.since(after)
+	// An instance that starts gets the state even while it may be old: without
+	// it, it would serve nothing.
+	current := !relayed && g.store.current(time.Now()) || after == 0 && at.Next > 0
+	if !current || g.leaving.Load() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	rows, at, changed, whole := h.since(after)
 	if whole && len(rows) == 0 && after > 0 {
 		timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, relayHoldMost))
 		defer timer.Stop()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -172,7 +172,7 @@
 func (g *Gateway) follow(f *feed) {
 	failures := 0
 	for g.ctx.Err() == nil {
-		from, relayed := g.sourceOf(failures > 0)
+		from, relayed := g.sourceOf(failures > 0, f.synced)
 		changed, err := f.step(g.ctx, from, failures > 0)
 		now := time.Now()
 		switch {
@@ -187,6 +187,7 @@
 			telemetry.Event("relay_failed", telemetry.F("feed", f.table), telemetry.F("error", err))
 			g.relays.distrust(now)
 			failures++
+			pause(g.ctx, backoff(failures))
 		case err != nil:
 			g.store.lost(now, err)
 			failures++
