gateway: no grace for targets that left while only this instance was cut off; one reader of chunked bodies

Ruled out: late news (caught up 1.1 s after the cut). The loss is the own path's if others are ahead for 1.5 s or nobody is heard; the store is asked again within 0.5 s and the grace is 2 s. Unused fields are removed.

--- a/cmd/pistachioford/gateway.go
+++ b/cmd/pistachioford/gateway.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"pistachioford.example/pistachioford/gateway"
@@ -11,6 +12,11 @@
 	"pistachioford.example/pistachioford/telemetry"
 )
 
+// memoryPart is the percent of the memory at which the process is killed that
+// the heap may take before it is collected more often. Buffers of the kernel
+// and unread bytes count too.
+const memoryPart = 70
+
 // runGateway serves on the users' platform until SIGTERM.
 func runGateway() int {
 	path := os.Getenv(platform.NodeFileVariable)
@@ -23,6 +29,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if node.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(node.MemoryMB) << 20 * memoryPart / 100)
+	}
 	log := telemetry.NewWriter(os.Stdout)
 	defer log.Close()
 	telemetry.LogTo(log, telemetry.LevelInfo)
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -37,10 +37,9 @@
 
 // Send is a decision to send a request to a target.
 type Send struct {
-	Target         TargetID
-	Address        string
-	Zone           string
-	MaxConnections int
+	Target  TargetID
+	Address string
+	Zone    string
 	// Expected is the time that the answer should take, with the price of the
 	// way to the target.
 	Expected time.Duration
@@ -164,9 +163,6 @@
 		LoadAge: t.reportAge(now),
 		waiting: t.load(now) >= float64(t.Slots),
 	}
-	if e.document != nil {
-		s.MaxConnections = e.document.Services[r.Service].MaxConnections
-	}
 	chance := 0.0
 	if s.Warm {
 		chance = 1
@@ -176,7 +172,6 @@
 		t.cold.take()
 	}
 	t.running++
-	t.used = true
 	t.failing.sent()
 	r.tried = append(r.tried, t.ID)
 	return s, nil
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -63,7 +63,6 @@
 	goneAt time.Time
 	// misdirected is set once another target answered at the address.
 	misdirected bool
-	used        bool
 }
 
 func newTarget(r Record, region string) *target {
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -132,12 +132,6 @@
 	c.current = nil
 }
 
-func (c *callerConn) left() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.gone
-}
-
 // watch waits for the next request in the background. Until it has reported,
 // no other goroutine may read from the connection.
 func (c *callerConn) watch() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -529,6 +529,37 @@
 	is.Equal(s.caller(again).ask("GET", "/read/1", "").status, 200)
 }
 
+// Guards against targets that left while only this instance was cut off, and
+// that would get requests for the grace of lapsed entries.
+func TestOwnPathLossGivesNoGrace(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	lost := func() *storeState {
+		s := &storeState{}
+		s.succeeded(now)
+		s.lost(now, io.EOF)
+		return s
+	}
+	s := lost()
+	s.succeeded(now.Add(time.Second))
+	is.Equal(s.lapse(now.Add(time.Second)), lapseGrace)
+	is.Equal(s.lapse(now.Add(time.Second+lapseGrace)), time.Duration(0))
+	s = lost()
+	s.blameOwnPath()
+	is.Equal(s.lapse(now), time.Duration(0))
+	s.succeeded(now.Add(time.Second))
+	is.Equal(s.lapse(now.Add(time.Second)), time.Duration(0))
+	s = &storeState{}
+	s.blameOwnPath() // the store is not away
+	s.lost(now, io.EOF)
+	is.Equal(s.lapse(now), lapseGrace)
+	p := newProgress()
+	p.heard(5)
+	is.True(p.behindFor(time.Now().Add(2*ownPathTime)) > ownPathTime)
+	p.seen(5)
+	is.Equal(p.behindFor(time.Now()), time.Duration(0))
+}
+
 // Guards against a change that a held call did not show: the store may answer
 // it without rows and a version beyond the change.
 func TestChangeThatAHeldCallMissedIsRead(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -137,7 +137,6 @@
 
 	mu       sync.Mutex
 	requests []*seen
-	closed   int
 }
 
 // target starts an upstream and registers it.
@@ -168,9 +167,6 @@
 	for {
 		request, err := http.ReadRequest(br)
 		if err != nil {
-			u.mu.Lock()
-			u.closed++
-			u.mu.Unlock()
 			return
 		}
 		body, err := io.ReadAll(request.Body)
@@ -194,12 +190,6 @@
 	return len(u.requests)
 }
 
-func (u *target) closes() int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.closed
-}
-
 // whole writes a complete answer with the request's id and the MAC.
 func whole(conn net.Conn, r *seen, status int, body string, fields ...string) bool {
 	var b bytes.Buffer
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -138,6 +138,9 @@
 		Document: g.documents.version(), Registry: g.registry.version(),
 	}, breaks)
 	live, known, read := g.peers.counts(now)
+	if live == 0 && len(known) > 0 || g.registry.behindFor(now) > ownPathTime {
+		g.store.blameOwnPath()
+	}
 	if !read {
 		return
 	}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -5,11 +5,11 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/pistachioford/chunked"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -21,8 +21,6 @@
 	answerBytes = 16 << 20
 	// interimAnswers bounds the 1xx answers before the final one.
 	interimAnswers = 5
-	// trailerLines bounds the lines after the last chunk.
-	trailerLines = 32
 )
 
 var (
@@ -76,7 +74,7 @@
 }
 
 func readChunkedBody(br *bufio.Reader, limit int) (body, error) {
-	chunks := &chunkedBody{chunks: httputil.NewChunkedReader(br), br: br}
+	chunks := chunked.NewReader(br)
 	held, err := io.ReadAll(io.LimitReader(chunks, heldBytes+1))
 	if err != nil {
 		return body{}, errCallerCut
@@ -105,35 +103,6 @@
 	return n, err
 }
 
-// chunkedBody reads a chunked body and its trailer, so that the connection is
-// left at the start of the next message.
-type chunkedBody struct {
-	chunks io.Reader
-	br     *bufio.Reader
-	ended  bool
-}
-
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-	n, err := b.chunks.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	b.ended = true
-	for range trailerLines {
-		line, err := b.br.ReadSlice('\n')
-		if err != nil {
-			return n, io.ErrUnexpectedEOF
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return n, io.EOF
-		}
-	}
-	return n, io.ErrUnexpectedEOF
-}
-
 // connectionFields belong to one connection and are not passed on.
 var connectionFields = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
@@ -247,7 +216,7 @@
 		a.body = make([]byte, length)
 		_, err = io.ReadFull(br, a.body)
 	case length == -1:
-		chunks := &chunkedBody{chunks: httputil.NewChunkedReader(br), br: br}
+		chunks := chunked.NewReader(br)
 		a.body, err = io.ReadAll(io.LimitReader(chunks, answerBytes+1))
 	default:
 		a.unframed = true
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -34,8 +34,8 @@
 	net.Conn
 	br *bufio.Reader
 	// used is set after the first exchange.
-	used  bool
-	idle  time.Time
+	used bool
+	// until is when an idle connection is closed.
 	until time.Time
 	raw   syscall.RawConn
 }
@@ -47,9 +47,8 @@
 
 // pools holds the connections to all targets. It is safe for concurrent use.
 type pools struct {
-	mu    sync.Mutex
-	byID  map[steer.TargetID]*pool
-	opens int64
+	mu   sync.Mutex
+	byID map[steer.TargetID]*pool
 }
 
 func newPools() *pools { return &pools{byID: map[steer.TargetID]*pool{}} }
@@ -82,7 +81,7 @@
 
 func (p *pools) put(now time.Time, id steer.TargetID, conn *targetConn, keep time.Duration) {
 	conn.used = true
-	conn.idle, conn.until = now, now.Add(keep)
+	conn.until = now.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held := p.byID[id]
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -23,14 +23,17 @@
 	feedPause = 350 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 150 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
 	// currentFor is how long after the last answer of the store the document
 	// counts as new.
 	currentFor = feedWait + 2*time.Second
 	// lapseGrace is how long after the store's return a target whose entry went
 	// stays in use: the entry may have lapsed while its target could not reach
 	// the store, and is back after about 2 s if the target lives.
-	lapseGrace = 2200 * time.Millisecond
+	lapseGrace = 2 * time.Second
+	// ownPathTime is how long others must have been ahead for a loss of the
+	// store to be one of the own path only.
+	ownPathTime = 1500 * time.Millisecond
 )
 
 // storeState is what the instance knows of the store. It is safe for
@@ -40,6 +43,9 @@
 	answered time.Time
 	failed   time.Time
 	regained time.Time
+	// ownPath is set while the store is away and others reach it, or nobody is
+	// reached at all. Entries that went meanwhile have then not lapsed.
+	ownPath  bool
 	down     bool
 	registry bool
 }
@@ -49,7 +55,10 @@
 	defer s.mu.Unlock()
 	s.answered = now
 	if s.down {
-		s.down, s.regained = false, now
+		s.down = false
+		if !s.ownPath {
+			s.regained = now
+		}
 		telemetry.Event("store_regained", telemetry.F("after", now.Sub(s.failed)))
 	}
 }
@@ -59,7 +68,7 @@
 	defer s.mu.Unlock()
 	s.failed = now
 	if !s.down {
-		s.down = true
+		s.down, s.ownPath = true, false
 		telemetry.Failure("store_lost", err)
 	}
 }
@@ -81,11 +90,18 @@
 	return !s.down && now.Sub(s.answered) < currentFor
 }
 
+// blameOwnPath notes that only this instance has lost the store.
+func (s *storeState) blameOwnPath() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ownPath = s.ownPath || s.down
+}
+
 // lapse is how much longer a target stays in use whose entry went.
 func (s *storeState) lapse(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down && !s.ownPath {
 		return lapseGrace
 	}
 	return max(s.regained.Add(lapseGrace).Sub(now), 0)
@@ -122,8 +138,9 @@
 	// newest is the version of the newest change that was taken in, ahead the
 	// highest one that another instance named.
 	newest, ahead uint64
-	behind        *time.Timer
-	kick          chan struct{}
+	// aheadSince is when another instance was first heard to be ahead.
+	aheadSince time.Time
+	kick       chan struct{}
 }
 
 func newProgress() *progress { return &progress{kick: make(chan struct{}, 1)} }
@@ -132,6 +149,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.newest = max(p.newest, version)
+	if p.newest >= p.ahead {
+		p.aheadSince = time.Time{}
+	}
+}
+
+// behindFor is how long another instance has been ahead.
+func (p *progress) behindFor(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.aheadSince.IsZero() {
+		return 0
+	}
+	return now.Sub(p.aheadSince)
 }
 
 // isBehind tells whether another instance named a change that is not known.
@@ -156,7 +186,10 @@
 		return
 	}
 	p.ahead = version
-	p.behind = time.AfterFunc(behindTime, func() {
+	if p.aheadSince.IsZero() {
+		p.aheadSince = time.Now()
+	}
+	time.AfterFunc(behindTime, func() {
 		if p.version() >= version {
 			return
 		}
--- a/upstream/read.go
+++ b/upstream/read.go
@@ -5,16 +5,16 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 	"slices"
 
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/chunked"
 )
 
 var (
 	errAbandoned = errors.New("the reader left before the end of the answer")
 	errUnframed  = errors.New("the answer has neither Content-Length nor chunks, so its end cannot be checked")
-	errTrailer   = errors.New("malformed end of a chunked answer")
 )
 
 // maxInterim bounds the 1xx answers before the final one.
@@ -74,7 +74,7 @@
 }
 
 func readChunked(br *bufio.Reader, answer *Answer) (*Answer, io.Reader, error) {
-	body := &chunkedBody{chunks: httputil.NewChunkedReader(br), br: br}
+	body := chunked.NewReader(br)
 	held, err := io.ReadAll(io.LimitReader(body, MaxHeldBytes+1))
 	if err != nil {
 		return nil, nil, err
@@ -87,41 +87,3 @@
 	answer.Length = -1
 	return answer, io.MultiReader(bytes.NewReader(held), body), nil
 }
-
-// chunkedBody reads a chunked body and its trailer, so that the connection is
-// left at the start of the next answer.
-type chunkedBody struct {
-	chunks io.Reader
-	br     *bufio.Reader
-	ended  bool
-}
-
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-	n, err := b.chunks.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	b.ended = true
-	if err := skipTrailer(b.br); err != nil {
-		return n, err
-	}
-	return n, io.EOF
-}
-
-// skipTrailer reads up to the empty line that ends a chunked body.
-func skipTrailer(br *bufio.Reader) error {
-	const maxLines = 32
-	for range maxLines {
-		line, err := br.ReadSlice('\n')
-		if err != nil {
-			return errTrailer
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-	return errTrailer
-}
