gateway: a panic in the background ends the process; the document's header limit holds

Cause: conc keeps panics for a Wait that never came, so a feed could end unseen. A header of 16 KB, which the document allows, did not fit a buffer of the same size. TestPanicEndsTheInstance and TestHeaderLimit guard both; they use new functions or were written with the change and not run on the old code.

--- a/cmd/pistachioford/gateway.go
+++ b/cmd/pistachioford/gateway.go
@@ -52,6 +52,8 @@
 			return exitOK
 		case <-reload:
 			reloadNode(path)
+		case err := <-g.Failed():
+			return fail("gateway", err)
 		}
 	}
 }
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// callerBuffer bounds the header of a request before a document sets it.
-	callerBuffer = 16 << 10
+	// firstHeaderBytes bounds the header of a request before a document sets
+	// it. headerMargin is room for the empty line and for a body's first bytes.
+	firstHeaderBytes = 16 << 10
+	headerMargin     = 1 << 10
 	// firstIdle and firstHeader are the times for a connection before a
 	// document sets them.
 	firstIdle   = 15 * time.Second
@@ -171,7 +173,8 @@
 // serveCaller answers the requests of one connection.
 func (g *Gateway) serveCaller(conn net.Conn) {
 	defer closeQuietly(conn)
-	c := &callerConn{Conn: conn, br: bufio.NewReaderSize(conn, callerBuffer), gateway: g, next: make(chan error, 1)}
+	buffer := g.limits().HeaderBytes + headerMargin
+	c := &callerConn{Conn: conn, br: bufio.NewReaderSize(conn, buffer), gateway: g, next: make(chan error, 1)}
 	if !g.callers.add(c) {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
@@ -43,8 +44,10 @@
 
 	requests, readiness, lookups, counters, feeds net.Listener
 	group                                         conc.WaitGroup
-	ctx                                           context.Context
-	stop                                          context.CancelFunc
+	// failed gets the first panic of a background goroutine.
+	failed chan error
+	ctx    context.Context
+	stop   context.CancelFunc
 }
 
 // New returns an instance for a machine.
@@ -54,6 +57,7 @@
 		documents: newProgress(), registry: newProgress(),
 		store: &storeState{}, relays: newRelays(), metrics: newMetrics(), pools: newPools(),
 		callers: callers{open: map[*callerConn]struct{}{}},
+		failed:  make(chan error, 1),
 		engine: steer.NewEngine(steer.Config{
 			Self:  steer.Self{Name: node.Name, Zone: node.Zone, Region: node.Region},
 			Zones: node.Zones,
@@ -96,16 +100,36 @@
 func (g *Gateway) Start() {
 	telemetry.Event("started", telemetry.F("instance", g.node.Name), telemetry.F("zone", g.node.Zone),
 		telemetry.F("requests", g.node.Requests), telemetry.F("store", g.node.Store))
-	g.group.Go(g.acceptCallers)
+	g.background("accept", g.acceptCallers)
 	g.serveSmall(g.readiness, g.handleReadiness)
 	g.serveSmall(g.lookups, g.handleLookup)
 	g.serveSmall(g.counters, g.metrics.handle)
 	g.serveSmall(g.feeds, g.handleRelay)
-	g.group.Go(g.watchDocument)
-	g.group.Go(g.watchRegistry)
-	g.group.Go(g.keepMembership)
-	g.group.Go(func() { g.peers.receive(g.hear) })
-	g.group.Go(g.tick)
+	g.background("document", g.watchDocument)
+	g.background("registry", g.watchRegistry)
+	g.background("membership", g.keepMembership)
+	g.background("heartbeats_sent", g.sendBeats)
+	g.background("heartbeats_received", func() { g.peers.receive(g.hear) })
+	g.background("tick", g.tick)
+}
+
+// Failed returns the error after which the instance cannot go on. The process
+// is to end then; the platform starts it again.
+func (g *Gateway) Failed() <-chan error { return g.failed }
+
+// background runs a part of the instance. Without it the rest would go on with
+// old targets or documents, so a panic ends the instance.
+func (g *Gateway) background(step string, run func()) {
+	g.group.Go(func() {
+		recovered := panics.Try(run)
+		if recovered == nil {
+			return
+		}
+		select {
+		case g.failed <- eris.Wrapf(recovered.AsError(), "step=%s", step):
+		default:
+		}
+	})
 }
 
 func (g *Gateway) acceptCallers() {
@@ -126,6 +150,8 @@
 
 const (
 	acceptPause = 50 * time.Millisecond
+	// firstBodyBytes bounds a body before a document sets it.
+	firstBodyBytes = 64 << 20
 	// tickTime is how often idle connections and gone targets are swept.
 	tickTime = 500 * time.Millisecond
 )
@@ -149,11 +175,16 @@
 
 // limits returns what callers may send.
 func (g *Gateway) limits() steer.Limits {
-	limits := steer.Limits{BodyBytes: 64 << 20, HeaderTimeout: firstHeader, IdleTimeout: firstIdle}
+	limits := steer.Limits{
+		HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes, HeaderTimeout: firstHeader, IdleTimeout: firstIdle,
+	}
 	doc := g.document.Load()
 	if doc == nil {
 		return limits
 	}
+	if doc.Limits.HeaderBytes > 0 {
+		limits.HeaderBytes = doc.Limits.HeaderBytes
+	}
 	if doc.Limits.BodyBytes > 0 {
 		limits.BodyBytes = doc.Limits.BodyBytes
 	}
@@ -194,7 +225,7 @@
 	g.leaving.Store(true)
 	telemetry.Event("leaving", telemetry.F("instance", g.node.Name))
 	g.beat()
-	g.group.Go(g.leaveMembership)
+	g.background("leave", g.leaveMembership)
 	end := began.Add(g.node.Bounds.Grace - leaveMargin)
 	for time.Now().Before(end) {
 		time.Sleep(leavePoll)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -301,6 +301,22 @@
 	is.Equal(u.count(), 0)
 }
 
+// Guards against proper headers that do not fit, and against endless ones.
+func TestHeaderLimit(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.target("i-1", ok)
+	g := s.instance("g")
+	s.targets(g, 1)
+	is.Equal(s.caller(g).ask("GET", "/read/1", "", "X-Long: "+strings.Repeat("x", 16_000)).status, 200)
+	c := s.caller(g)
+	go func() {
+		// The connection may be closed before all is sent.
+		_, _ = io.WriteString(c.conn, "GET /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Long: "+strings.Repeat("x", 40_000)+"\r\n\r\n")
+	}()
+	is.Equal(c.receive().status, 431)
+}
+
 // Guards against an answer before the end of an upload after which the
 // target's connection carries the next request where body bytes are due.
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
@@ -529,6 +545,16 @@
 	is.Equal(s.caller(again).ask("GET", "/read/1", "").status, 200)
 }
 
+// Guards against a part of the instance that ends unseen.
+func TestPanicEndsTheInstance(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{failed: make(chan error, 1)}
+	g.background("feed", func() { panic("out of range") })
+	err := <-g.Failed()
+	is.True(strings.Contains(err.Error(), "step=feed"))
+	is.True(strings.Contains(err.Error(), "out of range"))
+}
+
 // Guards against targets that left while only this instance was cut off, and
 // that would get requests for the grace of lapsed entries.
 func TestOwnPathLossGivesNoGrace(t *testing.T) {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -33,7 +33,7 @@
 		Handler: handler, NoDefaultServerHeader: true, Logger: quietLogger{},
 		ReadTimeout: firstIdle, IdleTimeout: firstIdle,
 	}
-	g.group.Go(func() {
+	g.background("serve", func() {
 		if err := server.Serve(listener); err != nil && g.ctx.Err() == nil {
 			telemetry.Failure("serve", err, telemetry.F("address", listener.Addr()))
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -152,7 +152,6 @@
 // keepMembership writes the own row, reads those of others and sends
 // heartbeats.
 func (g *Gateway) keepMembership() {
-	g.group.Go(g.sendBeats)
 	written := false
 	for g.ctx.Err() == nil {
 		period := memberPeriod
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -26,7 +26,7 @@
 	// farthest region. A longer wait would use up the caller's time.
 	dialTimeout = 300 * time.Millisecond
 	// targetBuffer holds the header of an answer.
-	targetBuffer = 8 << 10
+	targetBuffer = 16 << 10
 )
 
 // targetConn is a connection to a target, used by one exchange at a time.
