steer: instances of a zone share what they saw of targets

Cause: on grown sites an instance gets a load report of a target every few seconds, and each of 74 instances finds a dead target by a failure of its own.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -148,6 +148,8 @@
 	To string
 	// Copies are the newest heartbeats of other instances.
 	Copies []Beat
+	// Near is set for an instance of the own zone.
+	Near bool
 }
 
 // Next counts a heartbeat and returns it with those that are to get it.
@@ -181,7 +183,7 @@
 		near = near[:crowdFanout]
 	}
 	for _, r := range near {
-		s := Sending{To: r.Peers}
+		s := Sending{To: r.Peers, Near: true}
 		switch {
 		case t.crowded:
 			s.Copies = ofZone
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -25,6 +25,7 @@
 	document  *Document
 	targets   map[TargetID]*target
 	byService map[string][]*target
+	byHash    map[uint64]*target
 	evacuated map[string]bool
 	// peers is the number of other live instances.
 	peers int
@@ -51,6 +52,7 @@
 		self: c.Self, zones: c.Zones, retry: c.Retry,
 		targets:   map[TargetID]*target{},
 		byService: map[string][]*target{},
+		byHash:    map[uint64]*target{},
 		evacuated: map[string]bool{},
 		budgets:   map[string]*budget{},
 		suspects:  suspects{table: map[uint64]suspect{}},
@@ -138,6 +140,7 @@
 		e.remove(r.ID)
 		t = newTarget(r, region)
 		e.targets[r.ID] = t
+		e.byHash[t.hash] = t
 		e.byService[r.Service] = append(e.byService[r.Service], t)
 	}
 	t.Record = r
@@ -176,6 +179,7 @@
 		return
 	}
 	delete(e.targets, id)
+	delete(e.byHash, t.hash)
 	kept := e.byService[t.Service][:0]
 	for _, other := range e.byService[t.Service] {
 		if other != t {
--- a/core/steer/health.go
+++ b/core/steer/health.go
@@ -21,6 +21,8 @@
 	row        int
 	ejections  int
 	ejectUntil time.Time
+	// byOthers is set while the ejection rests on the word of others.
+	byOthers bool
 	// probing is set while the one request that tests an ejected target runs.
 	probing bool
 	errors  float64
@@ -42,7 +44,7 @@
 }
 
 func (h *health) succeeded() {
-	h.row, h.ejections, h.probing = 0, 0, false
+	h.row, h.ejections, h.probing, h.byOthers = 0, 0, false, false
 	h.errors -= errorWeight * h.errors
 }
 
@@ -63,9 +65,23 @@
 	}
 	pause := min(ejectBase<<min(h.ejections, 3), ejectMost)
 	h.ejections++
+	h.byOthers = false
 	h.ejectUntil = now.Add(pause)
 	return true
 }
 
+// heard notes that other instances cannot reach the target: one request tests
+// it, as after an own failure.
+func (h *health) heard(now time.Time) {
+	h.ejections = 1
+	h.ejectUntil = now.Add(ejectBase)
+	h.byOthers = true
+}
+
+// ownDown tells whether this instance itself found the target not to answer.
+func (h *health) ownDown(now time.Time) bool {
+	return h.ejections > 0 && !h.byOthers && now.Sub(h.ejectUntil) < ejectMost
+}
+
 // abandoned notes an exchange that ended without a verdict.
 func (h *health) abandoned() { h.probing = false }
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -52,6 +52,10 @@
 	// others is the mean load from other instances, as of reported.
 	others   float64
 	reported time.Time
+	// measured is when the target last reported its load to this instance.
+	measured time.Time
+	// downs are the last words of other instances that cannot reach it.
+	downs []downReport
 	// slow is the mean ratio of the time of an answer to the expected one.
 	slow    float64
 	slowAt  time.Time
@@ -91,7 +95,12 @@
 	if now.Sub(t.reported) < othersFade {
 		others = t.others + othersWeight*(others-t.others)
 	}
-	t.others, t.reported = others, now
+	t.others, t.reported, t.measured = others, now, now
+}
+
+// hearLoad takes in the load that another instance measured.
+func (t *target) hearLoad(now time.Time, total int) {
+	t.others, t.reported = max(0, float64(total-t.running)), now
 }
 
 // slowness fades towards 1 while the target is not used.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -53,15 +53,14 @@
 	s := newSite(t)
 	s.target("i-1", ok)
 	g := s.instance("g")
-	c := s.caller(g)
-	is.Equal(c.ask("GET", "/nowhere/1", "").status, 404)
+	is.Equal(s.caller(g).ask("GET", "/nowhere/1", "").status, 404)
 	// A store that is away may hold a route that is not known here.
 	s.store.SetFault(standin.Down)
 	s.wait("lost store", func() bool { return !g.store.current(time.Now()) })
-	answer := c.ask("GET", "/nowhere/1", "")
+	answer := s.caller(g).ask("GET", "/nowhere/1", "")
 	is.Equal(answer.status, 503)
 	is.True(answer.header.Get("Retry-After") != "")
-	is.Equal(c.ask("GET", "/read/1", "").status, 200) // known routes go on
+	is.Equal(s.caller(g).ask("GET", "/read/1", "").status, 200) // known routes go on
 }
 
 func TestNoDocumentIsNoDenial(t *testing.T) {
@@ -504,11 +503,10 @@
 	s.target("i-1", ok)
 	g := s.instance("g")
 	s.targets(g, 1)
-	c := s.caller(g)
 	for _, fault := range []standin.Fault{standin.Down, standin.Silent} {
 		s.store.SetFault(fault)
 		s.wait("lost store", func() bool { return !g.store.current(time.Now()) })
-		is.Equal(c.ask("GET", "/read/1", "").status, 200)
+		is.Equal(s.caller(g).ask("GET", "/read/1", "").status, 200)
 		s.store.SetFault(standin.Healthy)
 		s.wait("store", func() bool { return g.store.current(time.Now()) })
 	}
@@ -519,7 +517,7 @@
 	s.store.DropHistory()
 	s.store.SetFault(standin.Healthy)
 	s.wait("store", func() bool { return g.store.current(time.Now()) })
-	is.Equal(c.ask("GET", "/read/1", "").status, 200)
+	is.Equal(s.caller(g).ask("GET", "/read/1", "").status, 200)
 	s.targets(g, 0)
 }
 
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -16,6 +16,8 @@
 	others []presence.Beat
 	// breaks are exchanges in which a target broke off.
 	breaks []steer.Break
+	// seen is what the sender saw of targets.
+	seen []steer.Observation
 }
 
 // Fields of a heartbeat. Others are copies of other instances' beats.
@@ -23,6 +25,14 @@
 	fieldOwn protowire.Number = iota + 1
 	fieldOther
 	fieldBreak
+	fieldSeen
+)
+
+// Fields of an observation.
+const (
+	fieldTarget protowire.Number = iota + 1
+	fieldLoad
+	fieldDown
 )
 
 // breakBytes is the length of an encoded break: two fixed numbers.
@@ -57,6 +67,10 @@
 		message = protowire.AppendFixed64(message, b.Fingerprint)
 		message = protowire.AppendFixed64(message, b.Target)
 	}
+	for _, o := range h.seen {
+		message = protowire.AppendTag(message, fieldSeen, protowire.BytesType)
+		message = protowire.AppendBytes(message, appendObservation(nil, o))
+	}
 	return message
 }
 
@@ -100,24 +114,9 @@
 			return heartbeat{}, errHeartbeat
 		}
 		message = message[n+m:]
-		if number == fieldBreak {
-			b, err := decodeBreak(body)
-			if err != nil {
-				return heartbeat{}, err
-			}
-			h.breaks = append(h.breaks, b)
-			continue
-		}
-		beat, err := decodeBeat(body)
-		if err != nil {
+		if err := h.decodeField(number, body); err != nil {
 			return heartbeat{}, err
 		}
-		switch number {
-		case fieldOwn:
-			h.own = beat
-		case fieldOther:
-			h.others = append(h.others, beat)
-		}
 	}
 	if h.own.Name == "" {
 		return heartbeat{}, errHeartbeat
@@ -125,6 +124,74 @@
 	return h, nil
 }
 
+func (h *heartbeat) decodeField(number protowire.Number, body []byte) error {
+	var err error
+	switch number {
+	case fieldOwn:
+		h.own, err = decodeBeat(body)
+	case fieldOther:
+		var beat presence.Beat
+		beat, err = decodeBeat(body)
+		h.others = append(h.others, beat)
+	case fieldBreak:
+		var b steer.Break
+		b, err = decodeBreak(body)
+		h.breaks = append(h.breaks, b)
+	case fieldSeen:
+		var o steer.Observation
+		o, err = decodeObservation(body)
+		h.seen = append(h.seen, o)
+	}
+	return err
+}
+
+func appendObservation(dst []byte, o steer.Observation) []byte {
+	dst = protowire.AppendTag(dst, fieldTarget, protowire.Fixed64Type)
+	dst = protowire.AppendFixed64(dst, o.Target)
+	if o.Down {
+		dst = protowire.AppendTag(dst, fieldDown, protowire.VarintType)
+		return protowire.AppendVarint(dst, 1)
+	}
+	dst = protowire.AppendTag(dst, fieldLoad, protowire.VarintType)
+	return protowire.AppendVarint(dst, uint64(o.Load))
+}
+
+// loadMost bounds a load that is heard; targets queue far less.
+const loadMost = 1 << 16
+
+func decodeObservation(body []byte) (steer.Observation, error) {
+	var o steer.Observation
+	for len(body) > 0 {
+		number, kind, n := protowire.ConsumeTag(body)
+		if n < 0 {
+			return o, errHeartbeat
+		}
+		body = body[n:]
+		var value uint64
+		switch kind {
+		case protowire.Fixed64Type:
+			value, n = protowire.ConsumeFixed64(body)
+		case protowire.VarintType:
+			value, n = protowire.ConsumeVarint(body)
+		default:
+			return o, errHeartbeat
+		}
+		if n < 0 {
+			return o, errHeartbeat
+		}
+		body = body[n:]
+		switch number {
+		case fieldTarget:
+			o.Target = value
+		case fieldLoad:
+			o.Load = int(min(value, loadMost))
+		case fieldDown:
+			o.Down = value != 0
+		}
+	}
+	return o, nil
+}
+
 func decodeBreak(body []byte) (steer.Break, error) {
 	fingerprint, n := protowire.ConsumeFixed64(body)
 	if n < 0 || len(body) != breakBytes {
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -25,11 +25,12 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	is := is.New(t)
 	sent := heartbeat{own: testBeat, others: []presence.Beat{{Name: "b"}, testBeat},
-		breaks: []steer.Break{{Fingerprint: 1 << 63, Target: 7}}}
+		breaks: []steer.Break{{Fingerprint: 1 << 63, Target: 7}},
+		seen:   []steer.Observation{{Target: 5, Load: 12}, {Target: 6, Down: true}}}
 	received, err := decodeHeartbeat(encodeHeartbeat(sent))
 	is.NoErr(err)
 	is.Equal(received, sent)
-	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01", "\x1a\x02ab"} {
+	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01", "\x1a\x02ab", "\x22\x01\x09", "\x22\x02\x0a\x00"} {
 		_, err := decodeHeartbeat([]byte(bad))
 		is.True(err != nil)
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -61,15 +61,19 @@
 }
 
 // send sends one heartbeat.
-func (p *peers) send(now time.Time, state presence.State, breaks []steer.Break) {
+func (p *peers) send(now time.Time, state presence.State, breaks []steer.Break, seen []steer.Observation) {
 	p.mu.Lock()
 	p.table.SetState(state)
 	own, sendings := p.table.Next(now)
 	p.mu.Unlock()
 	for _, sending := range sendings {
 		peer, err := net.ResolveUDPAddr("udp4", sending.To)
+		message := heartbeat{own: own, others: sending.Copies, breaks: breaks}
+		if sending.Near {
+			message.seen = seen
+		}
 		if err == nil {
-			_, err = p.conn.WriteToUDP(encodeHeartbeat(heartbeat{own: own, others: sending.Copies, breaks: breaks}), peer)
+			_, err = p.conn.WriteToUDP(encodeHeartbeat(message), peer)
 		}
 		if err != nil {
 			telemetry.Debug("heartbeat_not_sent", telemetry.F("peer", sending.To), telemetry.F("error", err))
@@ -101,11 +105,10 @@
 	defer g.peers.mu.Unlock()
 	g.documents.heard(message.own.Document)
 	g.registry.heard(message.own.Registry)
-	if len(message.breaks) > 0 {
-		g.mu.Lock()
-		g.engine.HearBreaks(now, message.breaks)
-		g.mu.Unlock()
-	}
+	g.mu.Lock()
+	g.engine.HearBreaks(now, message.breaks)
+	g.engine.HearObservations(now, message.own.Name, message.seen)
+	g.mu.Unlock()
 	for _, beat := range append(message.others, message.own) {
 		if g.peers.table.Hear(now, beat) {
 			telemetry.Event("instance_live", telemetry.F("instance", beat.Name), telemetry.F("zone", beat.Zone))
@@ -131,12 +134,12 @@
 func (g *Gateway) beat() {
 	now := time.Now()
 	g.mu.Lock()
-	breaks := g.engine.Breaks(now)
+	breaks, seen := g.engine.Breaks(now), g.engine.Observations(now)
 	g.mu.Unlock()
 	g.peers.send(now, presence.State{
 		Ready: g.ready(), Leaving: g.leaving.Load(),
 		Document: g.documents.version(), Registry: g.registry.version(),
-	}, breaks)
+	}, breaks, seen)
 	live, known, read := g.peers.counts(now)
 	if live == 0 && len(known) > 0 || g.registry.behindFor(now) > ownPathTime {
 		g.store.blameOwnPath()
