steer: refuse queued work from 1.6 times the aim

Cause: with loads shared in a zone the estimate of a queue is closer, and 1.25 times the aim refused work that was late but served.

--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -137,7 +137,7 @@
 const (
 	// lateFactor is the part of a route's aim that the expected time of a
 	// queued request may take; estimates are rough.
-	lateFactor = 1.25
+	lateFactor = 1.6
 	// urgencyStep lowers it for each step of less urgent work.
 	urgencyStep = 0.1
 )
