--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -38,6 +38,8 @@
 	learned      map[durationKey]*durations
 	trips        map[string]time.Duration
 	spills       map[string]*spill
+	// pressures is the part of a service's arrivals that meet a long queue.
+	pressures map[string]float64
 	// credits hold the weighted round robin of each split route.
 	credits map[string][]int
 }
@@ -60,6 +62,7 @@
 		learned:   map[durationKey]*durations{},
 		trips:     map[string]time.Duration{},
 		spills:    map[string]*spill{},
+		pressures: map[string]float64{},
 		credits:   map[string][]int{},
 	}
 }
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -131,27 +131,16 @@
 	return e.send(now, r)
 }
 
-// Admission answers a flood: work that would be late only because of the queue
-// before it is refused, since it would make all that come after it late too.
-// A target with a free slot is never a reason to refuse.
-const (
-	// lateFactor is the part of a route's aim that the expected time of a
-	// queued request may take; estimates are rough.
-	lateFactor = 1.6
-	// urgencyStep lowers it for each step of less urgent work.
-	urgencyStep = 0.1
-)
-
 func (e *Engine) send(now time.Time, r *Request) (Send, *Refusal) {
 	c := e.choose(now, r)
 	t := c.target
 	if t == nil {
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: emptyRetry}
 	}
-	if c.wait > 0 && c.cost-e.wayCost(r, t) > e.patience(now, r) {
+	if expected := c.cost - e.wayCost(r, t); !e.admits(now, r, c.wait, expected) {
 		return Send{}, &Refusal{
 			Reason: ReasonTooLate, RetryAfter: max(soonRetry, c.wait/2),
-			Best: t.ID, Expected: c.cost - e.wayCost(r, t), Load: t.load(now), LoadAge: t.reportAge(now),
+			Best: t.ID, Expected: expected, Load: t.load(now), LoadAge: t.reportAge(now),
 		}
 	}
 	d := e.durationsOf(r)
@@ -177,16 +166,6 @@
 	return s, nil
 }
 
-// patience is the longest expected time with which a queued request is sent.
-func (e *Engine) patience(now time.Time, r *Request) time.Duration {
-	left := r.Deadline.Sub(now)
-	if r.Route.Aim <= 0 {
-		return left
-	}
-	factor := max(lateFactor-urgencyStep*float64(r.Route.Priority), 1)
-	return min(left, time.Duration(factor*float64(r.Route.Aim)))
-}
-
 // Load is a target's own count of its requests.
 type Load struct {
 	Running, Waiting, Slots int
