gateway: a restarted instance is not behind because of a removed row

Cause: heartbeats name the newest change that an instance knows. A whole table does not show the version of a removed row, so an instance that restarted after a removal counted as behind its peers until the next change. It then took an outage of the store for a loss of its own path, and gave lapsed entries no grace.

Change: a position tells what is covered apart from what is told. A whole table covers the store's version at the read; a relay passes on what it covers itself.

Ruled out: telling the covered version to others. It grows with every table, so each instance would be behind others all the time.

Before: TestWholeTableCoversRemovedRows fails (isBehind after the read). After: it holds, with the tests of gateway and platform.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -481,7 +481,7 @@
 func TestNewsOfPeersEndALostCall(t *testing.T) {
 	is := is.New(t)
 	p := newProgress()
-	p.seen(5)
+	p.seen(platform.Position{Newest: 5, Covered: 5})
 	p.heard(5)
 	p.heard(7)
 	select {
@@ -489,7 +489,7 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("no kick")
 	}
-	p.seen(9)
+	p.seen(platform.Position{Newest: 9, Covered: 9})
 	p.heard(8)
 	p.heard(9)
 	time.Sleep(behindTime + 100*time.Millisecond)
@@ -580,7 +580,7 @@
 	p := newProgress()
 	p.heard(5)
 	is.True(p.behindFor(time.Now().Add(2*ownPathTime)) > ownPathTime)
-	p.seen(5)
+	p.seen(platform.Position{Newest: 5, Covered: 5})
 	is.Equal(p.behindFor(time.Now()), time.Duration(0))
 }
 
@@ -593,7 +593,7 @@
 	deaf := &scriptedSource{answers: []scriptedAnswer{
 		{at: platform.Position{Next: 10}},
 		{at: platform.Position{Next: 15}},
-		{rows: []platform.Row{{Key: "config", Version: 12}}, at: platform.Position{Next: 16, Newest: 12}},
+		{rows: []platform.Row{{Key: "config", Version: 12}}, at: platform.Position{Next: 16, Newest: 12, Covered: 12}},
 		{at: platform.Position{Next: 17}},
 		{at: platform.Position{Next: 18}},
 		{at: platform.Position{Next: 19}},
@@ -612,6 +612,43 @@
 	is.Equal(deaf.asked[4:], []uint64{16, 0}) // the whole table is read
 }
 
+// Guards against an instance that counts as behind its peers after a restart:
+// the last change was the removal of a row, and a whole table does not show the
+// version of a removed row.
+func TestWholeTableCoversRemovedRows(t *testing.T) {
+	is := is.New(t)
+	store, err := standin.Start("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(store.Close()) }()
+	store.Put("servers", "i-1", []byte("{}"))
+	store.Put("servers", "i-2", []byte("{}"))
+	store.Remove("servers", "i-2")
+	apply := func(time.Time, []platform.Row, bool) {}
+	restarted := func(from source, told uint64) *feed {
+		f := &feed{table: platform.FeedRegistry, progress: newProgress(), history: newHistory(), apply: apply}
+		f.progress.heard(told)
+		_, err := f.step(context.Background(), from, false)
+		is.NoErr(err)
+		return f
+	}
+	client := platform.NewStore(store.Address())
+	_, at, err := client.Watch(context.Background(), platform.FeedRegistry, 1, 0)
+	is.NoErr(err)
+	removal := at.Newest
+	relay := restarted(client, removal)
+	is.True(!relay.progress.isBehind())
+	is.Equal(relay.progress.behindFor(time.Now().Add(2*ownPathTime)), time.Duration(0))
+	// A change that came after the table was read is still missed.
+	relay.progress.heard(removal + 1)
+	is.True(relay.progress.isBehind())
+	// A follower covers what its relay covers, and no more.
+	rows, at, _, _ := relay.history.since(0)
+	follower := restarted(&scriptedSource{answers: []scriptedAnswer{{rows: rows, at: at}}}, removal)
+	is.True(!follower.progress.isBehind())
+	follower.progress.heard(removal + 1)
+	is.True(follower.progress.isBehind())
+}
+
 type scriptedAnswer struct {
 	rows []platform.Row
 	at   platform.Position
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,6 +69,7 @@
 	}
 	h.at.Next = max(h.at.Next, at.Next)
 	h.at.Newest = max(h.at.Newest, at.Newest)
+	h.at.Covered = max(h.at.Covered, at.Covered)
 	h.forget(now)
 	if whole || len(rows) > 0 {
 		close(h.changed)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -135,9 +135,10 @@
 // of others. It is safe for concurrent use.
 type progress struct {
 	mu sync.Mutex
-	// newest is the version of the newest change that was taken in, ahead the
-	// highest one that another instance named.
-	newest, ahead uint64
+	// newest is the version of the newest change that was taken in, covered
+	// that up to which none is missing, ahead the highest one that another
+	// instance named.
+	newest, covered, ahead uint64
 	// aheadSince is when another instance was first heard to be ahead.
 	aheadSince time.Time
 	kick       chan struct{}
@@ -145,11 +146,13 @@
 
 func newProgress() *progress { return &progress{kick: make(chan struct{}, 1)} }
 
-func (p *progress) seen(version uint64) {
+// seen takes in how far the table was followed.
+func (p *progress) seen(at platform.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.newest = max(p.newest, version)
-	if p.newest >= p.ahead {
+	p.newest = max(p.newest, at.Newest)
+	p.covered = max(p.covered, at.Covered)
+	if p.covered >= p.ahead {
 		p.aheadSince = time.Time{}
 	}
 }
@@ -168,9 +171,17 @@
 func (p *progress) isBehind() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.newest < p.ahead
+	return p.covered < p.ahead
 }
 
+// covers tells whether all changes up to a version are known.
+func (p *progress) covers(version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.covered >= version
+}
+
+// version is what other instances are told.
 func (p *progress) version() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -182,7 +193,7 @@
 func (p *progress) heard(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version <= p.newest || version <= p.ahead {
+	if version <= p.covered || version <= p.ahead {
 		return
 	}
 	p.ahead = version
@@ -190,7 +201,7 @@
 		p.aheadSince = time.Now()
 	}
 	time.AfterFunc(behindTime, func() {
-		if p.version() >= version {
+		if p.covers(version) {
 			return
 		}
 		select {
@@ -268,7 +279,7 @@
 		f.next = at.Next
 		f.apply(now, rows, whole)
 		f.history.update(now, rows, at, whole)
-		f.progress.seen(at.Newest)
+		f.progress.seen(at)
 	}
 	if doubtful && !whole && f.progress.isBehind() {
 		telemetry.Event("feed_behind", telemetry.F("feed", f.table), telemetry.F("version", f.next))
