gateway: use only fresh connections after a reset on a rested one

Cause: targets that forget idle connections reset what is sent next. Each order on such a connection was lost (502, it may have run), and two resets in a row ejected a healthy target.

Such a reset neither counts against the target nor makes a request a crasher; a repeat goes to the same target on a new connection, since its objects are at hand there.

Ruled out: a limit per target (one lost order a target and instance), a probe before each order (a trip always).

What is left is the first loss of each instance.

--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -57,6 +57,32 @@
 	is.True(r.MayHaveRun())
 }
 
+// Guards against targets that are avoided, and requests taken for crashers,
+// when connections were forgotten; and against a second run of an order.
+func TestForgottenConnectionSaysNothingOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 6, "a1")
+	forgotten := Ended{Result: Broken, Forgotten: true}
+	home := mustSend(t, e, start, newTestRequest(e, start, "/read/1", 5)).Target
+	for i := range 5 {
+		now := start.Add(time.Duration(i) * 10 * time.Second) // the budget of repeats refills
+		r := newTestRequest(e, now, "/read/1", 5)
+		s := mustSend(t, e, now, r)
+		is.Equal(s.Target, home)
+		next, refusal := e.Finish(now, r, s, forgotten)
+		is.True(refusal == nil)
+		is.Equal(next.Target, home) // its objects are at hand there
+		is.Equal(next.Attempt, 2)
+		finish(e, now, r, next, Answered)
+	}
+	r := newTestRequest(e, start, "/order/1", 5)
+	next, refusal := e.Finish(start, r, mustSend(t, e, start, r), forgotten)
+	is.True(next == nil)
+	is.Equal(refusal.Reason, ReasonBroken)
+	is.True(r.MayHaveRun())
+}
+
 // Guards against more targets than the route allows.
 func TestMaxAttempts(t *testing.T) {
 	is := is.New(t)
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -19,6 +19,8 @@
 	Streaming bool
 
 	tried []TargetID
+	// sends counts the decisions to send.
+	sends int
 	// attempts counts the targets that the request may have reached.
 	attempts int
 	// mayHaveRun is set once a target may have begun to work on the request.
@@ -51,6 +53,8 @@
 	LoadAge time.Duration
 	// Place is the target's place in the object's order, 0 for its home.
 	Place int
+	// Trip is the round trip to the target's zone.
+	Trip time.Duration
 	// Attempt counts from 1.
 	Attempt int
 
@@ -144,9 +148,10 @@
 		}
 	}
 	d := e.durationsOf(r)
+	r.sends++
 	s := Send{
-		Target: t.ID, Address: t.Address, Zone: t.Zone, Attempt: len(r.tried) + 1,
-		Expected: c.cost, Place: c.place, target: t, at: now,
+		Target: t.ID, Address: t.Address, Zone: t.Zone, Attempt: r.sends,
+		Expected: c.cost, Place: c.place, Trip: e.distance(t), target: t, at: now,
 		Warm:    e.warm.has(now, r.Object, t),
 		Load:    t.load(now),
 		LoadAge: t.reportAge(now),
@@ -156,7 +161,7 @@
 	if s.Warm {
 		chance = 1
 	}
-	s.expected = d.expected(chance) + e.distance(t)
+	s.expected = d.expected(chance) + s.Trip
 	if t.isCold(now) {
 		t.cold.take()
 	}
@@ -211,6 +216,10 @@
 	ColdFor time.Duration
 	// AnswerBytes is the size of the answer's body.
 	AnswerBytes int
+	// Forgotten is set for a Broken exchange that was reset at once on a
+	// connection that had rested. It says nothing of the target, but the
+	// request may have run all the same.
+	Forgotten bool
 }
 
 // Finish takes in the end of an exchange and decides whether the request is
@@ -264,6 +273,12 @@
 	case NotSent:
 		t.failing.failed(now, true)
 	case Broken:
+		if ended.Forgotten {
+			t.failing.abandoned()
+			// The target may well get the request on another connection.
+			r.tried = r.tried[:len(r.tried)-1]
+			return
+		}
 		t.failing.failed(now, false)
 		if b := (Break{Fingerprint: r.Fingerprint, Target: t.hash}); e.suspects.broke(now, b) {
 			e.suspects.tell(now, b)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,6 +18,10 @@
 // A target may answer a longer one before it has read all of it.
 const inlineBytes = 16 << 10
 
+// resetSlack is added to the trip to a target for a reset that comes at once,
+// before any work was done.
+const resetSlack = 25 * time.Millisecond
+
 // exchange is one attempt at a target. cancel may be called by any goroutine.
 type exchange struct {
 	mu       sync.Mutex
@@ -69,15 +73,22 @@
 	id     []byte
 	body   body
 	head   bool
+	// repeatable says that the request may run twice, fresh that it is sent on
+	// a new connection only.
+	repeatable, fresh bool
 	// deadline is when the answer must be there.
 	deadline time.Time
 }
 
 // do carries out one attempt.
 func (x *exchange) do(p *pools, j *job, s *steer.Send) outcome {
-	conn := p.take(time.Now(), s.Target)
+	var conn *targetConn
+	if !j.fresh {
+		conn = p.take(time.Now(), s.Target, j.repeatable)
+	}
+	kept := conn != nil
 	var out outcome
-	if conn == nil {
+	if !kept {
 		var err error
 		conn, out.opened, err = p.dial(s.Address, time.Until(j.deadline))
 		if err != nil {
@@ -90,11 +101,16 @@
 		out.Result = steer.Abandoned
 		return out
 	}
+	sent := time.Now()
 	a, whole, err := x.roundTrip(conn, j, s)
 	alive := x.unbind()
 	if err != nil {
 		closeQuietly(conn)
 		out.Result, out.err = failure(err, alive, j.deadline), err
+		if kept && out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sent) < s.Trip+resetSlack {
+			out.Forgotten = true
+			p.forgotten(time.Now(), sent.Sub(conn.idleSince))
+		}
 		return out
 	}
 	out.answer = a
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -496,6 +496,30 @@
 	is.Equal(len(p.kick), 0)
 }
 
+// Guards against orders that are lost one after the other, and targets that are
+// avoided, when targets forget idle connections without a word.
+func TestForgottenConnectionsLoseFewRequests(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	targets := []*target{s.target("i-1", ok), s.target("i-2", ok)}
+	g := s.instance("g")
+	s.targets(g, 2)
+	c := s.caller(g)
+	for i := range 6 {
+		is.Equal(c.ask("GET", fmt.Sprintf("/read/%d", i), "").status, 200)
+	}
+	for _, u := range targets {
+		u.forgets.Store(int64(60 * time.Millisecond))
+	}
+	statuses := map[int]int{}
+	for range 8 {
+		time.Sleep(150 * time.Millisecond)
+		statuses[c.ask("POST", "/order/1", "one pallet").status]++
+	}
+	is.Equal(statuses, map[int]int{200: 7, 502: 1})
+	is.Equal(targets[0].count()+targets[1].count(), 6+7) // the lost one did not run
+}
+
 // Guards against a store outage that takes targets or documents away.
 func TestStoreOutageKeepsServing(t *testing.T) {
 	is := is.New(t)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,6 +136,10 @@
 	listener net.Listener
 	script   func(conn net.Conn, r *seen) bool
 
+	// forgets is how long an idle connection is kept: what comes later is
+	// reset. 0 means for good.
+	forgets atomic.Int64
+
 	mu       sync.Mutex
 	requests []*seen
 }
@@ -165,6 +170,14 @@
 	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	for {
+		idle := time.Now()
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		if kept := time.Duration(u.forgets.Load()); kept > 0 && time.Since(idle) > kept {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		request, err := http.ReadRequest(br)
 		if err != nil {
 			return
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"pistachioford.example/core/reuse"
 	"pistachioford.example/core/steer"
 )
 
@@ -35,6 +36,8 @@
 	br *bufio.Reader
 	// used is set after the first exchange.
 	used bool
+	// idleSince is when the connection was last used or opened.
+	idleSince time.Time
 	// until is when an idle connection is closed.
 	until time.Time
 	raw   syscall.RawConn
@@ -49,14 +52,16 @@
 type pools struct {
 	mu   sync.Mutex
 	byID map[steer.TargetID]*pool
+	// rule limits the rest of the connections that are used.
+	rule reuse.Rule
 }
 
 func newPools() *pools { return &pools{byID: map[steer.TargetID]*pool{}} }
 
 // take returns an idle connection on which nothing is pending, or nil.
-func (p *pools) take(now time.Time, id steer.TargetID) *targetConn {
+func (p *pools) take(now time.Time, id steer.TargetID, repeatable bool) *targetConn {
 	for {
-		conn := p.pop(id)
+		conn := p.pop(now, id, repeatable)
 		if conn == nil {
 			return nil
 		}
@@ -67,7 +72,8 @@
 	}
 }
 
-func (p *pools) pop(id steer.TargetID) *targetConn {
+// pop returns the connection that was used last, unless it rested for too long.
+func (p *pools) pop(now time.Time, id steer.TargetID, repeatable bool) *targetConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held := p.byID[id]
@@ -75,13 +81,16 @@
 		return nil
 	}
 	conn := held.idle[len(held.idle)-1]
+	if now.Sub(conn.idleSince) > p.rule.MostRest(now, repeatable) {
+		return nil
+	}
 	held.idle = held.idle[:len(held.idle)-1]
 	return conn
 }
 
 func (p *pools) put(now time.Time, id steer.TargetID, conn *targetConn, keep time.Duration) {
 	conn.used = true
-	conn.until = now.Add(keep)
+	conn.idleSince, conn.until = now, now.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held := p.byID[id]
@@ -92,6 +101,13 @@
 	held.idle = append(held.idle, conn)
 }
 
+// forgotten takes in that a request was reset at once after a rest.
+func (p *pools) forgotten(now time.Time, rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rule.Reset(now, rested)
+}
+
 // dial opens a connection. It returns the time that this took.
 func (p *pools) dial(address string, timeout time.Duration) (*targetConn, time.Duration, error) {
 	began := time.Now()
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -106,6 +106,7 @@
 	telemetry.Event("exchange_failed", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("address", s.Address), telemetry.F("zone", s.Zone),
 		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("error", out.err),
+		telemetry.F("forgotten", out.Forgotten),
 		telemetry.F("load", oneDigit(s.Load)), telemetry.F("load_age_ms", s.LoadAge.Milliseconds()),
 		telemetry.F("expected_ms", s.Expected.Milliseconds()), telemetry.F("document", g.documentVersion()),
 		telemetry.F("took_ms", time.Since(r.arrived).Milliseconds()), telemetry.F("repeated", repeated))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -125,6 +125,7 @@
 	j := &job{
 		common: appendCommonFields(make([]byte, 0, 512), r.header, r.body.length),
 		id:     r.id, body: r.body, head: r.header.IsHead(), deadline: r.Deadline,
+		repeatable: route.Kind.Repeatable(),
 	}
 	for {
 		x := &exchange{}
@@ -141,7 +142,7 @@
 			g.logServed(r, &send, out.answer.header.StatusCode())
 			return &reply{answer: out.answer}
 		}
-		send = *next
+		send, j.fresh = *next, out.Forgotten
 	}
 }
 
