gateway: open connections to far targets ahead of requests

Cause: in a fleet of 74 instances and 214 targets most pairs have no open connection.

Change: the engine names far targets (a trip of 15 ms or more) of services of which 5% of the objects live elsewhere; the gateway keeps one unused connection to each, 256 at most. They are used last and measure the trips as well.

Ruled out: near targets (6 to 10 ms); feeding failed dials into the health of targets, as one cut link would then eject targets that nobody needs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,7 @@
 	g.background("membership", g.keepMembership)
 	g.background("heartbeats_sent", g.sendBeats)
 	g.background("heartbeats_received", func() { g.peers.receive(g.hear) })
+	g.background("standby", g.keepStandby)
 	g.background("tick", g.tick)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -496,6 +496,35 @@
 	is.Equal(len(p.kick), 0)
 }
 
+// Guards against requests that wait for a connection to a far target.
+func TestConnectionsToFarTargetsAreOpenAhead(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	far := s.target("i-1", ok)
+	s.store.Put("servers", "i-1", fmt.Appendf(nil,
+		`{"address":%q,"born":1,"info":{"service":"s","zone":"zb","capacity":3},"status":{"state":"ready","seq":2,"cold_left":"0ms"}}`,
+		far.listener.Addr()))
+	s.target("i-2", ok) // a near one: the region has too few
+	for i := range 6 {
+		s.store.Put("servers", fmt.Sprintf("i-gone-%d", i), fmt.Appendf(nil,
+			`{"address":"127.0.0.1:1","born":1,"info":{"service":"s","zone":"zb","capacity":3},"status":{"state":"ready","seq":2,"cold_left":"0ms"}}`))
+	}
+	g := s.instance("g")
+	s.targets(g, 8)
+	// The loopback's own trips are too short to be worth it.
+	g.mu.Lock()
+	for range 50 {
+		g.engine.ObserveTrip("zb", 70*time.Millisecond)
+	}
+	g.mu.Unlock()
+	s.wait("connection before any request", func() bool { return g.pools.holds("i-1") })
+	is.Equal(far.count(), 0)
+	conn := g.pools.take(time.Now(), "i-1", false)
+	is.True(conn != nil)
+	is.True(conn.silent())
+	closeQuietly(conn)
+}
+
 // Guards against orders that are lost one after the other, and targets that are
 // avoided, when targets forget idle connections without a word.
 func TestForgottenConnectionsLoseFewRequests(t *testing.T) {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,14 +92,37 @@
 func (p *pools) put(now time.Time, id steer.TargetID, conn *targetConn, keep time.Duration) {
 	conn.used = true
 	conn.idleSince, conn.until = now, now.Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.of(id)
+	held.idle = append(held.idle, conn)
+}
+
+// holds tells whether an idle connection to a target is open.
+func (p *pools) holds(id steer.TargetID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	held := p.byID[id]
+	return held != nil && len(held.idle) > 0
+}
+
+// reserve adds a connection that was not used yet. It is used last.
+func (p *pools) reserve(now time.Time, id steer.TargetID, conn *targetConn) {
+	conn.idleSince, conn.until = now, now.Add(idleTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.of(id)
+	held.idle = slices.Insert(held.idle, 0, conn)
+}
+
+// of returns the pool of a target. It is called with mu held.
+func (p *pools) of(id steer.TargetID) *pool {
 	held := p.byID[id]
 	if held == nil {
 		held = &pool{}
 		p.byID[id] = held
 	}
-	held.idle = append(held.idle, conn)
+	return held
 }
 
 // forgotten takes in that a request was reset at once after a rest.
