steer: one walk over a service's targets per request

Cause: a decision walked a service's targets twice (homes, loads) and looked up the route's durations, the spill and a price for each of them.

Change: prices are computed once a request for the three kinds of way; the walk keeps the best hashes of each, so that scores are needed for six targets only. steer.Reasons, which nothing used, is gone.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -141,12 +141,12 @@
 	}
 	if t == nil || r.Boot != t.Boot || r.Address != t.Address || r.Service != t.Service {
 		e.remove(r.ID)
-		t = newTarget(r, region)
+		t = newTarget(r)
 		e.targets[r.ID] = t
 		e.byHash[t.hash] = t
 		e.byService[r.Service] = append(e.byService[r.Service], t)
 	}
-	t.Record = r
+	t.Record, t.region, t.way = r, region, e.wayTo(r, region)
 	t.goneAt = time.Time{}
 	if r.ColdFor > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(r.ColdFor))
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -46,8 +46,9 @@
 	target *target
 	// place is the target's place in the object's order, places if it has none.
 	place int
-	// cost is the expected time to the answer with the price of the way.
-	cost time.Duration
+	// cost is the expected time to the answer with the price of the way, which
+	// is price.
+	cost, price time.Duration
 	// wait is the part of cost that the request spends in the target's queue.
 	wait time.Duration
 }
@@ -57,14 +58,15 @@
 // targets in its order: elsewhere it would push out objects that are at home.
 func (e *Engine) choose(now time.Time, r *Request) choice {
 	targets := e.byService[r.Service]
-	order := e.homes(now, r, targets)
-	crowded := e.crowding(now, r, targets)
+	p := e.pricesOf(r)
+	order, all := e.rank(now, r, p, targets)
+	crowded := p.crowding(all)
 	best := choice{cost: math.MaxInt64}
 	for place, t := range order {
 		if t == nil || !e.may(now, r, t) {
 			continue
 		}
-		c := e.weigh(now, r, t, order[0])
+		c := e.weigh(now, r, p, t, order[0])
 		c.place = place
 		if place > 0 {
 			c.cost += placeCosts[place] + crowded
@@ -80,7 +82,7 @@
 		if !e.may(now, r, t) {
 			continue
 		}
-		if c := e.weigh(now, r, t, order[0]); c.cost < best.cost {
+		if c := e.weigh(now, r, p, t, order[0]); c.cost < best.cost {
 			c.place = len(order)
 			best = c
 		}
@@ -91,15 +93,12 @@
 // crowding is the price of work away from an object's home while slots are
 // scarce: it takes the time of several requests that have their object at hand.
 // In a flood it keeps the objects where they are, and the surplus is refused.
-func (e *Engine) crowding(now time.Time, r *Request, targets []*target) time.Duration {
-	own, others := e.regionLoads(now, targets)
-	all := sideLoad{load: own.load + others.load, slots: own.slots + others.slots}
+func (p *prices) crowding(all sideLoad) time.Duration {
 	scarce := min(all.perSlot()-crowdedFrom, crowdedMost)
 	if scarce <= 0 {
 		return 0
 	}
-	d := e.durationsOf(r)
-	return time.Duration(scarce * crowdedCost * float64(max(d.cold-d.warm, 0)))
+	return time.Duration(scarce * crowdedCost * float64(max(p.durations.cold-p.durations.warm, 0)))
 }
 
 // may tells whether the request may be sent to the target.
@@ -119,45 +118,61 @@
 		(t.goneAt.IsZero() || now.Before(t.goneAt))
 }
 
-// homes returns the object's home target and those after it in its order.
-func (e *Engine) homes(now time.Time, r *Request, targets []*target) (order [places]*target) {
-	if r.Object == 0 {
-		return order
-	}
-	scores := [places]float64{math.Inf(1), math.Inf(1)}
+// candidate is a target with the hash that orders it for an object.
+type candidate struct {
+	target *target
+	hash   uint64
+}
+
+// rank returns the object's home target and those after it in its order, and
+// the load of all targets. Each order is a weighted rendezvous: the chance of a
+// target to be the home is proportional to its weight.
+func (e *Engine) rank(now time.Time, r *Request, p *prices, targets []*target) (order [places]*target, all sideLoad) {
+	// Among targets of one weight the largest hash comes first, so that scores
+	// are needed for few of them.
+	var first [wayKinds][places]candidate
 	for _, t := range targets {
-		if !e.listed(now, t) || !r.allows(t.region) || t.failing.ejections > 0 {
+		if !e.listed(now, t) || t.failing.ejections > 0 {
 			continue
 		}
-		// A weighted rendezvous score: the chance to have the least one is
-		// proportional to the weight.
-		unit := (float64(mix(r.Object, t.hash)) + 1) / math.MaxUint64
-		score := -math.Log(unit) / e.weight(r, t)
-		for place := range order {
-			if score < scores[place] {
-				score, scores[place] = scores[place], score
-				t, order[place] = order[place], t
+		all.add(t.load(now), t.Slots)
+		if r.Object == 0 || !r.allows(t.region) {
+			continue
+		}
+		c := candidate{t, mix(r.Object, t.hash)}
+		row := &first[t.way]
+		for place := range row {
+			if row[place].target == nil || c.hash > row[place].hash {
+				row[place], c = c, row[place]
 			}
-			if t == nil {
-				break
+		}
+	}
+	scores := [places]float64{math.Inf(1), math.Inf(1)}
+	for way, row := range first {
+		for _, c := range row {
+			if c.target == nil {
+				continue
 			}
+			unit := (float64(c.hash) + 1) / math.MaxUint64
+			insert(&order, &scores, c.target, -math.Log(unit)/p.weights[way])
 		}
 	}
-	return order
+	return order, all
 }
 
-// weight is the share of objects that a target is home to.
-func (e *Engine) weight(r *Request, t *target) float64 {
-	weight := 1 / (1 + float64(e.wayCost(r, t))/float64(wayScale))
-	if t.region != e.self.Region {
-		weight *= max(e.spillOf(r.Service).weight, leastWeight)
+// insert puts a target into an order by its score; the least comes first.
+func insert(order *[places]*target, scores *[places]float64, t *target, score float64) {
+	for place := range order {
+		if score < scores[place] {
+			score, scores[place] = scores[place], score
+			t, order[place] = order[place], t
+		}
 	}
-	return weight
 }
 
 // weigh computes the expected time until the answer, with what the way costs.
-func (e *Engine) weigh(now time.Time, r *Request, t, home *target) choice {
-	d := e.durationsOf(r)
+func (e *Engine) weigh(now time.Time, r *Request, p *prices, t, home *target) choice {
+	d := p.durations
 	chance := 0.0
 	switch {
 	case e.warm.has(now, r.Object, t):
@@ -175,22 +190,52 @@
 	if ahead := t.load(now) - float64(t.Slots) + 1; ahead > 0 {
 		c.wait = time.Duration(ahead / float64(t.Slots) * slow * float64(d.expected(homeChance)))
 	}
-	c.cost = e.distance(t) + e.wayCost(r, t) + work + c.wait
+	c.price = p.ways[t.way]
+	c.cost = e.distance(t) + c.price + work + c.wait
 	c.cost += time.Duration(t.failing.errors * float64(errorCost))
 	return c
 }
 
-// wayCost is the price of the bytes to another zone.
-func (e *Engine) wayCost(r *Request, t *target) time.Duration {
-	bytes := time.Duration(envelopeBytes + r.BodyBytes + int(e.durationsOf(r).bytes))
+// way is the kind of way to a target.
+type way uint8
+
+const (
+	sameZone way = iota
+	sameRegion
+	otherRegion
+	wayKinds
+)
+
+func (e *Engine) wayTo(r Record, region string) way {
 	switch {
-	case t.Zone == e.self.Zone:
-		return 0
-	case t.region == e.self.Region:
-		return bytes * zoneByteCost
+	case r.Zone == e.self.Zone:
+		return sameZone
+	case region == e.self.Region:
+		return sameRegion
 	default:
-		return bytes * regionByteCost
+		return otherRegion
+	}
+}
+
+// prices are what the placement of a request needs to know of its route and
+// service, apart from the targets.
+type prices struct {
+	durations *durations
+	// ways is the price of the bytes to a target.
+	ways [wayKinds]time.Duration
+	// weights is the share of objects that a target is home to.
+	weights [wayKinds]float64
+}
+
+func (e *Engine) pricesOf(r *Request) *prices {
+	d := e.durationsOf(r)
+	bytes := time.Duration(envelopeBytes + r.BodyBytes + int(d.bytes))
+	p := &prices{durations: d, ways: [wayKinds]time.Duration{sameRegion: bytes * zoneByteCost, otherRegion: bytes * regionByteCost}}
+	for way, price := range p.ways {
+		p.weights[way] = 1 / (1 + float64(price)/float64(wayScale))
 	}
+	p.weights[otherRegion] *= max(e.spillOf(r.Service).weight, leastWeight)
+	return p
 }
 
 const (
@@ -207,10 +252,10 @@
 	if trip, found := e.trips[t.Zone]; found {
 		return trip
 	}
-	switch {
-	case t.Zone == e.self.Zone:
+	switch t.way {
+	case sameZone:
 		return sameZoneTrip
-	case t.region == e.self.Region:
+	case sameRegion:
 		return otherZoneTrip
 	default:
 		return otherRegionTrip
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -94,15 +94,6 @@
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// Reasons returns all reasons but ReasonNone.
-func Reasons() []Reason {
-	reasons := make([]Reason, 0, len(reasonNames)-1)
-	for i := 1; i < len(reasonNames); i++ {
-		reasons = append(reasons, Reason(i))
-	}
-	return reasons
-}
-
 // Refusal says that a request is not sent, and when it may come back. What
 // decided it is set where a target was chosen first.
 type Refusal struct {
@@ -141,7 +132,7 @@
 	if t == nil {
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: emptyRetry}
 	}
-	if expected := c.cost - e.wayCost(r, t); !e.admits(now, r, c.wait, expected) {
+	if expected := c.cost - c.price; !e.admits(now, r, c.wait, expected) {
 		return Send{}, &Refusal{
 			Reason: ReasonTooLate, RetryAfter: max(soonRetry, c.wait/2),
 			Best: t.ID, Expected: expected, Load: t.load(now), LoadAge: t.reportAge(now),
--- a/core/steer/spill.go
+++ b/core/steer/spill.go
@@ -111,11 +111,16 @@
 	return max(1-slots[e.self.Region]/need, 0)
 }
 
-// sideLoad is the load of the own region or of all others.
+// sideLoad is the load of some targets, such as those of the own region.
 type sideLoad struct {
 	load, slots float64
 }
 
+func (s *sideLoad) add(load float64, slots int) {
+	s.load += load
+	s.slots += float64(slots)
+}
+
 func (s sideLoad) perSlot() float64 {
 	if s.slots == 0 {
 		return 1
@@ -132,8 +137,7 @@
 		if t.region != e.self.Region {
 			side = &others
 		}
-		side.load += t.load(now)
-		side.slots += float64(t.Slots)
+		side.add(t.load(now), t.Slots)
 	}
 	return own, others
 }
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -46,6 +46,7 @@
 type target struct {
 	Record
 	region string
+	way    way
 	hash   uint64
 	// running counts the requests of this instance at the target.
 	running int
@@ -69,8 +70,8 @@
 	misdirected bool
 }
 
-func newTarget(r Record, region string) *target {
-	return &target{Record: r, region: region, hash: xxhash.Sum64String(string(r.ID)), slow: 1}
+func newTarget(r Record) *target {
+	return &target{Record: r, hash: xxhash.Sum64String(string(r.ID)), slow: 1}
 }
 
 // load estimates the requests that run or wait at the target.
