steer: requests test an ejected target again

Cause: an ejected target was left out of every object's order, and a request that found no usable target in its order was the only one to look further. So a target that had broken off twice, or refused one connection, got nothing more from that instance as long as others were in service. Likewise the share of errors of a target that nobody used never fell. Found by playing a crash of all targets in the model of core/model: 40% of the requests in time 17 s after.

Change: an ejected target is in the order again once its pause is over. One repeatable request tests it; other work does so after the same time again, or if nothing else is left. The share of errors halves after each 4 s without outcome.

Ruled out: probes of the health page (targets lie there); pressure, slowness and spill, each switched off in the model without effect on the recovery.

Figures: TestEjectedTargetReturnsAmongOthers and TestErrorsFade fail before and hold now.

--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -25,6 +25,55 @@
 	}
 }
 
+// Guards against a target that never returns after an ejection: its objects
+// have their homes elsewhere meanwhile, so no request would test it.
+func TestEjectedTargetReturnsAmongOthers(t *testing.T) {
+	for _, path := range []string{"/read/1", "/order/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 4, "a1")
+			const object = 5
+			r := newTestRequest(e, start, path, object)
+			s := mustSend(t, e, start, r)
+			home := s.Target
+			_, _ = finish(e, start, r, s, NotSent)
+			is.True(mustSend(t, e, start, newTestRequest(e, start, path, object)).Target != home)
+			// Work that may run once tests a target later than other work, which
+			// can be repeated if the target is still down.
+			later := start.Add(ejectBase)
+			s = mustSend(t, e, later, newTestRequest(e, later, path, object))
+			is.Equal(s.Target == home, path == "/read/1")
+			later = start.Add(2 * ejectBase)
+			if path == "/order/1" {
+				s = mustSend(t, e, later, newTestRequest(e, later, path, object))
+				is.Equal(s.Target, home)
+			}
+			// Others stay away until the test has ended well.
+			is.True(mustSend(t, e, later, newTestRequest(e, later, path, object)).Target != home)
+			_, _ = finish(e, later, r, s, Answered)
+			is.Equal(mustSend(t, e, later, newTestRequest(e, later, path, object)).Target, home)
+		})
+	}
+}
+
+// Guards against a target that is avoided for good since it failed often once.
+func TestErrorsFade(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 4, "a1")
+	const object = 5
+	home := mustSend(t, e, start, newTestRequest(e, start, "/read/1", object)).Target
+	failing := e.targets[home]
+	for range 20 {
+		failing.failing.failed(start, false)
+	}
+	later := start.Add(ejectMost)
+	is.True(mustSend(t, e, later, newTestRequest(e, later, "/read/1", object)).Target != home)
+	later = start.Add(ejectMost + 4*errorFade)
+	is.Equal(mustSend(t, e, later, newTestRequest(e, later, "/read/1", object)).Target, home)
+}
+
 // Guards against refusing work that another target can still take.
 func TestNotRunWorkMovesOn(t *testing.T) {
 	for _, result := range []Result{Shed, Misdirected, NotSent} {
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -63,7 +63,7 @@
 	crowded := p.crowding(all)
 	best := choice{cost: math.MaxInt64}
 	for place, t := range order {
-		if t == nil || !e.may(now, r, t) {
+		if t == nil || !e.may(now, r, t, r.Route.Kind.Repeatable()) {
 			continue
 		}
 		c := e.weigh(now, r, p, t, order[0])
@@ -79,7 +79,8 @@
 		return best
 	}
 	for _, t := range targets {
-		if !e.may(now, r, t) {
+		// Any work may test a target if there is no other.
+		if !e.may(now, r, t, true) {
 			continue
 		}
 		if c := e.weigh(now, r, p, t, order[0]); c.cost < best.cost {
@@ -101,12 +102,13 @@
 	return time.Duration(scarce * crowdedCost * float64(max(p.durations.cold-p.durations.warm, 0)))
 }
 
-// may tells whether the request may be sent to the target.
-func (e *Engine) may(now time.Time, r *Request, t *target) bool {
+// may tells whether the request may be sent to the target; tests says that it
+// may be the one that tests an ejected target.
+func (e *Engine) may(now time.Time, r *Request, t *target, tests bool) bool {
 	if !e.listed(now, t) || !r.allows(t.region) || r.triedTarget(t.ID) {
 		return false
 	}
-	if !t.failing.usable(now) {
+	if !t.failing.usable(now, tests) {
 		return false
 	}
 	return !t.isCold(now) || e.sendsToCold(t) && t.cold.ready(now, e.coldRateOf(t))
@@ -132,7 +134,7 @@
 	// are needed for few of them.
 	var first [wayKinds][places]candidate
 	for _, t := range targets {
-		if !e.listed(now, t) || t.failing.ejections > 0 {
+		if !e.listed(now, t) || !t.failing.usable(now, r.Route.Kind.Repeatable()) {
 			continue
 		}
 		all.add(t.load(now), t.Slots)
@@ -192,7 +194,7 @@
 	}
 	c.price = p.ways[t.way]
 	c.cost = e.distance(t) + c.price + work + c.wait
-	c.cost += time.Duration(t.failing.errors * float64(errorCost))
+	c.cost += time.Duration(t.failing.errorShare(now) * float64(errorCost))
 	return c
 }
 
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -252,9 +252,9 @@
 	case Answered:
 		e.succeeded(now, r, s, ended)
 	case Failed:
-		t.failing.refused()
+		t.failing.refused(now)
 	case Shed:
-		t.failing.refused()
+		t.failing.refused(now)
 		if ended.Load == nil {
 			t.report(now, 2*t.Slots, t.running)
 		}
@@ -284,7 +284,7 @@
 
 func (e *Engine) succeeded(now time.Time, r *Request, s *Send, ended Ended) {
 	t, elapsed := s.target, now.Sub(s.at)
-	t.failing.succeeded()
+	t.failing.succeeded(now)
 	e.durationsOf(r).learnSize(ended.AnswerBytes)
 	e.suspects.succeeded(r.Fingerprint)
 	if !s.waiting {
