model: play a load in virtual time, pistachioctl model

Not in it: bodies, documents, drains, failing instances. The replays in the tests of core/steer stay: they reach into the engine.

--- a/cmd/pistachioctl/commands.go
+++ b/cmd/pistachioctl/commands.go
@@ -33,6 +33,7 @@
 		{name: "blocks", description: "Upload client blocks and make them active.", define: defineBlocks, run: upload},
 		{name: "drain", description: "Give a target no new work.", define: defineDrain, run: drain(true)},
 		{name: "explain", description: "Tell the story of a request from log files: explain ID FILE...", define: defineExplain, run: explain},
+		{name: "model", description: "Play a load in virtual time, beside random placement.", define: defineModel, run: playModel},
 		{name: "undrain", description: "Give a target work again.", define: defineDrain, run: drain(false)},
 	}
 }
@@ -106,6 +107,17 @@
 	return operate.Explain(arguments[0], arguments[1:])
 }
 
+func defineModel(f *flaggy.Subcommand, o *options) {
+	o.seed, o.runs = 1, 1
+	f.AddPositionalValue(&o.args[0], "FILE", 1, true, "TOML file with zones, services, work and events.")
+	f.UInt64(&o.seed, "s", "seed", "Seed of the first run; a seed always gives the same run.")
+	f.Int(&o.runs, "r", "runs", "Number of runs with seeds in a row, added up.")
+}
+
+func playModel(ctx context.Context, o *options) (any, error) {
+	return operate.Model(ctx, operate.ModelRequest{File: o.args[0], Seed: o.seed, Runs: o.runs})
+}
+
 func defineBlocks(f *flaggy.Subcommand, o *options) {
 	f.AddPositionalValue(&o.args[0], "CSV", 1, true, "File with lines prefix,site.")
 	changeFlags(f, o)
--- a/cmd/pistachioctl/main.go
+++ b/cmd/pistachioctl/main.go
@@ -73,6 +73,8 @@
 	base      string
 	version   uint64
 	limit     int
+	seed      uint64
+	runs      int
 	instances []string
 	args      [maxArguments]string
 }
--- a/cmd/pistachioctl/print.go
+++ b/cmd/pistachioctl/print.go
@@ -67,6 +67,8 @@
 		return err
 	case *operate.Story:
 		return printStory(o.out, r)
+	case *operate.ModelReport:
+		return printModel(o.out, r)
 	case []operate.Record:
 		return printHistory(o.out, r)
 	case *operate.Status:
--- /dev/null
+++ b/core/model/model_test.go
@@ -0,0 +1,125 @@
+package model
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func load(t *testing.T, name string) *Plan {
+	t.Helper()
+	text, err := os.ReadFile("testdata/" + name)
+	is.New(t).NoErr(err)
+	p, err := Parse(name, string(text))
+	is.New(t).NoErr(err)
+	return p
+}
+
+func (r *Result) total() Count {
+	var sum Count
+	for _, w := range r.Work {
+		sum.InTime += w.InTime
+		sum.Late += w.Late
+		sum.Refused += w.Refused
+		sum.Failed += w.Failed
+		sum.ColdRuns += w.ColdRuns
+	}
+	return sum
+}
+
+// Guards against a model whose runs differ for one seed, so that no difference
+// between two versions of the decisions could be told from luck.
+func TestRunsRepeat(t *testing.T) {
+	is := is.New(t)
+	p := load(t, "small-region.toml")
+	a, b := Run(p, PolicyEngine, 7), Run(p, PolicyEngine, 7)
+	is.True(reflect.DeepEqual(a, b))
+	is.True(!reflect.DeepEqual(a, Run(p, PolicyEngine, 8)))
+}
+
+// Guards against requests that the model loses: each ends once, and zones and
+// kinds of work count the same ones.
+func TestEachRequestEndsOnce(t *testing.T) {
+	is := is.New(t)
+	p := load(t, "small-region.toml")
+	p.Settle = 0
+	r := Run(p, PolicyEngine, 1)
+	zones, seconds := 0, 0
+	for _, z := range r.Zones {
+		zones += z.Total()
+	}
+	for _, s := range r.Seconds {
+		seconds += s.Total()
+	}
+	is.Equal(zones, r.total().Total())
+	is.Equal(seconds, r.total().Total())
+	// 34 a second in each of 6 zones, and 40 a second more in the burst.
+	expected := 6 * (34*20 + 8*4)
+	is.True(float64(r.total().Total()) > 0.9*float64(expected))
+	is.True(float64(r.total().Total()) < 1.1*float64(expected))
+}
+
+// Guards against decisions that are no better than chance where the objects
+// decide how long work takes.
+func TestEngineBeatsRandomPlacement(t *testing.T) {
+	is := is.New(t)
+	p := load(t, "small-region.toml")
+	for seed := range uint64(3) {
+		engine, random := Run(p, PolicyEngine, seed).total(), Run(p, PolicyRandom, seed).total()
+		t.Logf("seed %d: in time %.3f, random placement %.3f", seed, engine.InTimeShare(), random.InTimeShare())
+		is.True(engine.InTimeShare() >= 0.5)
+		is.True(engine.InTimeShare() > random.InTimeShare())
+	}
+}
+
+// Guards against faults that the model does not carry out.
+func TestFaultsAreFelt(t *testing.T) {
+	p := load(t, "small-region.toml")
+	p.Events = nil
+	calm := Run(p, PolicyEngine, 1)
+	for _, fault := range []Event{
+		{Kind: Slow, Service: "stock", Fraction: 1, Factor: 4, At: 8 * time.Second, For: 4 * time.Second},
+		{Kind: Shed, Service: "stock", Fraction: 1, At: 8 * time.Second, For: 4 * time.Second},
+		{Kind: Crash, Service: "stock", Fraction: 1, At: 8 * time.Second, For: 4 * time.Second},
+		{Kind: Burst, Factor: 6, At: 8 * time.Second, For: 4 * time.Second},
+	} {
+		t.Run(fault.Kind, func(t *testing.T) {
+			is := is.New(t)
+			p.Events = []Event{fault}
+			r := Run(p, PolicyEngine, 1)
+			before, during := r.Seconds[6], r.Seconds[9]
+			is.True(before.InTimeShare() >= 0.5)
+			is.True(during.InTimeShare() < 0.8*calm.Seconds[9].InTimeShare())
+			is.True(r.Seconds[18].InTimeShare() >= 0.5) // it recovers
+		})
+	}
+}
+
+// Guards against plans that are wrong and run all the same.
+func TestBadPlans(t *testing.T) {
+	text, err := os.ReadFile("testdata/small-region.toml")
+	is.New(t).NoErr(err)
+	for _, test := range []struct{ old, new, message string }{
+		{`length = "20s"`, `length = "20"`, `small-region.toml:3: length`},
+		{`targets = [1, 1, 4, 4, 4, 4]`, `targets = [1, 1]`, "must have one number for each of the 6 zones, has 2"},
+		{`rate = "32/s"`, `rate = "-1/s"`, "rate"},
+		{`kind = "crash"`, `kind = "explode"`, "must be burst, slow, shed or crash"},
+		{`share = "15%"`, `share = "150%"`, "share"},
+		{`work = "bulk"`, `work = "bluk"`, `no kind of work "bluk" is defined`},
+		{`queue = 9`, `queues = 9`, "service.queue: missing"},
+	} {
+		t.Run(test.new, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("small-region.toml", strings.Replace(string(text), test.old, test.new, 1))
+			is.True(err != nil)
+			t.Log(err)
+			is.True(strings.Contains(err.Error(), test.message))
+		})
+	}
+	_, err = Parse("empty.toml", "")
+	is.New(t).True(err != nil)
+}
--- /dev/null
+++ b/operate/model.go
@@ -0,0 +1,66 @@
+package operate
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/iter"
+
+	"pistachioford.example/core/model"
+)
+
+// ModelRequest asks for runs of a load in virtual time.
+type ModelRequest struct {
+	File string
+	// Seed is that of the first run; each further one has the next.
+	Seed uint64
+	Runs int
+}
+
+// maxModelRuns bounds the runs of one command.
+const maxModelRuns = 1000
+
+// ModelReport compares the decisions with random placement under one load.
+type ModelReport struct {
+	File   string        `json:"file"`
+	Seed   uint64        `json:"seed"`
+	Runs   int           `json:"runs"`
+	Engine *model.Result `json:"engine"`
+	Random *model.Result `json:"random"`
+}
+
+// Model plays the load of a file. Runs are independent of each other.
+func Model(ctx context.Context, request ModelRequest) (*ModelReport, error) {
+	if request.Runs < 1 || request.Runs > maxModelRuns {
+		return nil, refusef("--runs must be from 1 to %d", maxModelRuns)
+	}
+	text, err := os.ReadFile(request.File)
+	if err != nil {
+		return nil, eris.Wrap(err, "step=read-model")
+	}
+	plan, err := model.Parse(request.File, string(text))
+	if err != nil {
+		return nil, err
+	}
+	report := &ModelReport{File: request.File, Seed: request.Seed, Runs: request.Runs}
+	for policy, result := range map[model.Policy]**model.Result{
+		model.PolicyEngine: &report.Engine, model.PolicyRandom: &report.Random,
+	} {
+		seeds := make([]uint64, request.Runs)
+		for i := range seeds {
+			seeds[i] = request.Seed + uint64(i)
+		}
+		results := iter.Map(seeds, func(seed *uint64) *model.Result {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return model.Run(plan, policy, *seed)
+		})
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		*result = model.Merge(results)
+	}
+	return report, nil
+}
