steer: repeats use 0.9 of the users' ratio instead of 0.75

Cause: where a part of the targets sheds, as many repeats as the users allow are too few already, and a quarter of them was not used.

Ruled out: the whole ratio. Requests and their repeats may fall into different windows, and an instance that restarts begins with a repeat.

--- a/core/steer/retry.go
+++ b/core/steer/retry.go
@@ -17,7 +17,7 @@
 const (
 	// ratioPart leaves room for requests that change their instance between
 	// two windows.
-	ratioPart = 0.75
+	ratioPart = 0.9
 	// extraPart leaves room for instances that restart with a full budget and
 	// for those that this instance does not know.
 	extraPart = 0.5
