steer: one instance of a zone tests a target at a time; eject at once on a break at once

Cause: targets that reset each request with a good health page cost each instance two requests to be found and one for each test.

Change: a break within the trip and 25 ms ejects a target the first time. An instance that hears of a fresh failure in its zone puts its own test off by 0.5 s. The newest failures are told first: with more than four, some were never told.

Ruled out: the health page as a test (such targets say there that they are well).

Figures: TestTargetThatBreaksOffAtOnceIsEjected, TestOneInstanceOfAZoneTestsAtATime, TestNewestDownsAreTold and TestCrasherOnRestedConnectionsIsRefused fail before and hold now.

--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against a second request that is lost at a target which breaks off at
+// once, before it can have done any work; a lost answer alone may be chance.
+func TestTargetThatBreaksOffAtOnceIsEjected(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 3, "a1")
+	for _, atOnce := range []bool{false, true} {
+		r := newTestRequest(e, start, "/order/1", 5)
+		s := mustSend(t, e, start, r)
+		_, refusal := e.Finish(start, r, s, Ended{Result: Broken, AtOnce: atOnce})
+		is.Equal(refusal.Reason, ReasonBroken)
+		is.True(r.MayHaveRun())
+		next := mustSend(t, e, start, newTestRequest(e, start, "/order/1", 5))
+		is.Equal(next.Target != s.Target, atOnce)
+		finish(e, start, r, next, Answered)
+	}
+}
+
 // Guards against a target that is avoided for good since it failed often once.
 func TestErrorsFade(t *testing.T) {
 	is := is.New(t)
@@ -149,7 +167,6 @@
 // Guards against a request that crashes one target after the other, while a
 // popular read in flight on a dying target stays allowed.
 func TestCrasherIsRefused(t *testing.T) {
-	is := is.New(t)
 	e := testEngine(t, "i", "a1")
 	addTargets(e, "s", 6, "a1")
 	crash := func() *Refusal {
@@ -161,6 +178,31 @@
 		_, _ = finish(e, start, r, &s, Broken)
 		return nil
 	}
+	testCrasher(t, e, crash)
+}
+
+// Guards against a request that crashes targets at once on connections that
+// had rested, which looks like connections that they forgot.
+func TestCrasherOnRestedConnectionsIsRefused(t *testing.T) {
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 6, "a1")
+	testCrasher(t, e, func() *Refusal {
+		r := newTestRequest(e, start, "/order/1", 5)
+		s, refusal := e.Arrive(start, r)
+		if refusal != nil {
+			return refusal
+		}
+		_, _ = e.Finish(start, r, &s, Ended{Result: Broken, Forgotten: true})
+		// The target is down after its crash.
+		e.targets[s.Target].failing.failed(start, true)
+		return nil
+	})
+}
+
+// testCrasher sends copies of a request until it is refused.
+func testCrasher(t *testing.T, e *Engine, crash func() *Refusal) {
+	t.Helper()
+	is := is.New(t)
 	is.True(crash() == nil)
 	first := e.suspects.table[mix(5, 7)]
 	is.Equal(len(first.targets), 1)
@@ -353,6 +395,31 @@
 	}
 }
 
+// Guards against refusing work that the users' rule leaves repeats for: they
+// allow 0.2 of the requests, and 18 in 100 meet a target that sheds.
+func TestRepeatsAllowedAreMade(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 6, "a1")
+	e.SetInstances(10, nil)
+	refused := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		r := newTestRequest(e, now, "/read/1", uint64(i))
+		s := mustSend(t, e, now, r)
+		if i*18%100 < 18 {
+			next, refusal := finish(e, now, r, s, Shed)
+			if refusal != nil {
+				refused++
+				continue
+			}
+			s = next
+		}
+		finish(e, now, r, s, Answered)
+	}
+	is.True(refused <= 10) // the first ones, before the budget has filled
+}
+
 // Guards against a shared bound that each instance takes for its own: repeats
 // of all instances together stay within the rule while all targets shed.
 func TestRepeatsOfAllInstancesStayWithinTheRule(t *testing.T) {
--- a/core/steer/health.go
+++ b/core/steer/health.go
@@ -26,6 +26,8 @@
 	ejectUntil time.Time
 	// pause is the length of the last ejection.
 	pause time.Duration
+	// failedAt is when an own request failed last.
+	failedAt time.Time
 	// byOthers is set while the ejection rests on the word of others.
 	byOthers bool
 	// probing is set while the one request that tests an ejected target runs.
@@ -83,12 +85,14 @@
 }
 
 // failed notes an exchange without an answer. It returns true if the target is
-// ejected by it. unreachable says that no connection could be opened.
-func (h *health) failed(now time.Time, unreachable bool) bool {
+// ejected by it. atOnce says that no connection could be opened, or that the
+// target broke off before it can have done any work.
+func (h *health) failed(now time.Time, atOnce bool) bool {
 	h.row++
 	h.probing = false
+	h.failedAt = now
 	h.noteError(now)
-	if !unreachable && h.row < brokenLimit && h.ejections == 0 {
+	if !atOnce && h.row < brokenLimit && h.ejections == 0 {
 		return false
 	}
 	h.pause = min(ejectBase<<min(h.ejections, 3), ejectMost)
@@ -106,9 +110,17 @@
 	h.byOthers = true
 }
 
-// ownDown tells whether this instance itself found the target not to answer.
+// postpone puts off the test of an ejected target that failed elsewhere.
+func (h *health) postpone(now time.Time) {
+	if until := now.Add(ejectBase); h.ejectUntil.Before(until) {
+		h.ejectUntil = until
+	}
+}
+
+// ownDown tells whether this instance itself found lately that the target does
+// not answer.
 func (h *health) ownDown(now time.Time) bool {
-	return h.ejections > 0 && !h.byOthers && now.Sub(h.ejectUntil) < ejectMost
+	return h.ejections > 0 && !h.byOthers && now.Sub(h.failedAt) < downAge
 }
 
 // abandoned notes an exchange that ended without a verdict.
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -207,6 +207,9 @@
 	ColdFor time.Duration
 	// AnswerBytes is the size of the answer's body.
 	AnswerBytes int
+	// AtOnce is set for a Broken exchange on a new connection that ended before
+	// the target can have done any work.
+	AtOnce bool
 	// Forgotten is set for a Broken exchange that was reset at once on a
 	// connection that had rested. It says nothing of the target, but the
 	// request may have run all the same.
@@ -268,9 +271,9 @@
 			t.failing.abandoned()
 			// The target may well get the request on another connection.
 			r.tried = r.tried[:len(r.tried)-1]
-			return
+		} else {
+			t.failing.failed(now, ended.AtOnce)
 		}
-		t.failing.failed(now, false)
 		if b := (Break{Fingerprint: r.Fingerprint, Target: t.hash}); e.suspects.broke(now, b) {
 			e.suspects.tell(now, b)
 		}
--- a/core/steer/share.go
+++ b/core/steer/share.go
@@ -21,7 +21,8 @@
 	// downReporters is the number of instances that must say so before a
 	// target is tested like one that failed here: one alone may be cut off.
 	downReporters = 2
-	downAge       = 2 * time.Second
+	// downAge is how long a failure is told, and counted by those who hear it.
+	downAge = 2 * time.Second
 )
 
 // Observation is what an instance saw of a target.
@@ -42,11 +43,12 @@
 
 // Observations returns what the other instances of the zone are to hear.
 func (e *Engine) Observations(now time.Time) []Observation {
-	var loads, downs []Observation
+	var loads []Observation
+	var downs []*target
 	for _, t := range e.targets {
 		switch {
 		case t.failing.ownDown(now):
-			downs = append(downs, Observation{Target: t.hash, Down: true})
+			downs = append(downs, t)
 		case !t.measured.IsZero() && now.Sub(t.measured) < shareAge && t.load(now) >= shareFrom*float64(t.Slots):
 			loads = append(loads, Observation{Target: t.hash, Load: int(t.load(now) + 0.5)})
 		}
@@ -54,8 +56,15 @@
 	slices.SortFunc(loads, func(a, b Observation) int {
 		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Target, b.Target))
 	})
-	slices.SortFunc(downs, func(a, b Observation) int { return cmp.Compare(a.Target, b.Target) })
-	return append(downs[:min(len(downs), sharedDowns)], loads[:min(len(loads), sharedLoads)]...)
+	// Others have heard of older ones before.
+	slices.SortFunc(downs, func(a, b *target) int {
+		return cmp.Or(b.failing.failedAt.Compare(a.failing.failedAt), cmp.Compare(a.hash, b.hash))
+	})
+	var told []Observation
+	for _, t := range downs[:min(len(downs), sharedDowns)] {
+		told = append(told, Observation{Target: t.hash, Down: true})
+	}
+	return append(told, loads[:min(len(loads), sharedLoads)]...)
 }
 
 // HearObservations takes in what another instance of the zone saw.
@@ -73,8 +82,13 @@
 	}
 }
 
-// hearDown ejects a target that several instances cannot reach.
+// hearDown ejects a target that several instances cannot reach. One that is
+// ejected already was just tested elsewhere and need not be tested here.
 func (t *target) hearDown(now time.Time, reporter string) {
+	if t.failing.ejections > 0 {
+		t.failing.postpone(now)
+		return
+	}
 	kept := t.downs[:0]
 	for _, d := range t.downs {
 		if d.reporter != reporter && now.Sub(d.at) < downAge {
@@ -82,7 +96,7 @@
 		}
 	}
 	t.downs = append(kept, downReport{reporter, now})
-	if len(t.downs) >= downReporters && t.failing.ejections == 0 {
+	if len(t.downs) >= downReporters {
 		t.failing.heard(now)
 		t.downs = nil
 	}
--- a/core/steer/share_test.go
+++ b/core/steer/share_test.go
@@ -29,6 +29,44 @@
 	is.Equal(len(b.Observations(start)), 0)               // hearsay is not passed on
 }
 
+// Guards against orders that are lost one by one as each instance of a zone
+// tests a target that still breaks off: one test tells all of them.
+func TestOneInstanceOfAZoneTestsAtATime(t *testing.T) {
+	is := is.New(t)
+	a, b := testEngine(t, "a", "a1"), testEngine(t, "b", "a1")
+	for _, e := range []*Engine{a, b} {
+		addTargets(e, "s", 1, "a1")
+		r := newTestRequest(e, start, "/order/1", 0)
+		_, _ = finish(e, start, r, mustSend(t, e, start, r), NotSent)
+	}
+	now := start.Add(ejectBase)
+	r := newTestRequest(a, now, "/order/1", 0)
+	_, _ = finish(a, now, r, mustSend(t, a, now, r), NotSent)
+	b.HearObservations(now, "a", a.Observations(now))
+	_, refusal := b.Arrive(now, newTestRequest(b, now, "/order/1", 0))
+	is.Equal(refusal.Reason, ReasonNoTarget)
+	now = now.Add(ejectBase)
+	mustSend(t, b, now, newTestRequest(b, now, "/order/1", 0))
+	is.Equal(len(a.Observations(start.Add(ejectBase+downAge))), 0) // too old to tell
+}
+
+// Guards against downs that are never told, since others come first each time.
+func TestNewestDownsAreTold(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "a", "a1")
+	addTargets(e, "s", sharedDowns+2, "a1")
+	now := start
+	for _, target := range e.byService["s"] {
+		now = now.Add(time.Millisecond)
+		target.failing.failed(now, true)
+	}
+	told := e.Observations(now)
+	is.Equal(len(told), sharedDowns)
+	for i, o := range told {
+		is.Equal(o.Target, e.byService["s"][sharedDowns+1-i].hash)
+	}
+}
+
 // Guards against each instance finding out by a request of its own that a
 // target is gone, and against one that is cut off and talks others out of it.
 func TestDownTargetsNeedTwoReporters(t *testing.T) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,8 +18,8 @@
 // A target may answer a longer one before it has read all of it.
 const inlineBytes = 16 << 10
 
-// resetSlack is added to the trip to a target for a reset that comes at once,
-// before any work was done.
+// resetSlack is added to the trip to a target for a break that comes at once:
+// work takes longer.
 const resetSlack = 25 * time.Millisecond
 
 // exchange is one attempt at a target. cancel may be called by any goroutine.
@@ -107,8 +107,10 @@
 	if err != nil {
 		closeQuietly(conn)
 		out.Result, out.err = failure(err, alive, j.deadline), err
-		if kept && out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sent) < s.Trip+resetSlack {
-			out.Forgotten = true
+		if out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sent) < s.Trip+resetSlack {
+			out.AtOnce, out.Forgotten = !kept, kept
+		}
+		if out.Forgotten {
 			p.forgotten(time.Now(), sent.Sub(conn.idleSince))
 		}
 		return out
