steer: expect a region to need an equal share of all slots

The users weigh the zone that is served worst.

Change: an equal share.

TestSmallRegionStartsAsWellAsOthers fails at 0.7 and holds.

--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -76,6 +76,28 @@
 	}
 }
 
+// Guards against a region with few targets whose callers are refused more than
+// others while all objects are cold: slots are then scarce everywhere, and the
+// users weigh the zone that is served worst.
+func TestSmallRegionStartsAsWellAsOthers(t *testing.T) {
+	is := is.New(t)
+	p := load(t, "cold-start.toml")
+	var refused, total [2]int
+	for seed := range uint64(12) {
+		for _, z := range Run(p, PolicyEngine, seed).Zones {
+			group := 0
+			if z.Name != "a1" && z.Name != "a2" {
+				group = 1
+			}
+			refused[group] += z.Refused
+			total[group] += z.Total()
+		}
+	}
+	small, others := float64(refused[0])/float64(total[0]), float64(refused[1])/float64(total[1])
+	t.Logf("refused in the small region %.3f, in the others %.3f", small, others)
+	is.True(small <= others)
+}
+
 // Guards against faults that the model does not carry out.
 func TestFaultsAreFelt(t *testing.T) {
 	p := load(t, "small-region.toml")
--- a/core/steer/spill.go
+++ b/core/steer/spill.go
@@ -26,7 +26,7 @@
 	spillMost = 0.95
 	// fairPart is the part of an equal share of all slots that a region is
 	// expected to need before its load was measured.
-	fairPart = 0.7
+	fairPart = 1.0
 	// settleTime is how long after the first targets were known the expected
 	// part is used; until then the registry may still fill.
 	settleTime = 3 * time.Second
