presence: lookups name few strong instances of a zone

Cause: callers were spread over all instances of a zone, 12 of which 10 have a fifth of a strong one's processor and a twentieth of its link.

Change: lookups name the fewest like instances, strongest first, with 0.4 of the zone's processors and half of its links, two at least; all if that would mix unlike ones. Heartbeats and rows carry both sizes, addresses take 6 bytes instead of up to 21, so the message stays below 90 bytes. Only instances that are named when all live send to cold targets.

Ruled out: adding instances by measured load (it reacts after the burst), a second hop from weak to strong ones (pays the way twice).

TestLookupsNameStrongInstances fails with the old lookup and holds; TestTrafficPerInstanceIsBounded holds as it is.

--- a/core/model/world.go
+++ b/core/model/world.go
@@ -132,7 +132,7 @@
 		w.buildTargets(s)
 	}
 	for _, in := range w.instances {
-		in.engine.SetInstances(len(w.instances)-1, w.names())
+		in.engine.SetInstances(len(w.instances)-1, w.names(), true)
 	}
 }
 
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -50,6 +50,9 @@
 	// Requests and Peers are the addresses for requests and for heartbeats.
 	Requests string
 	Peers    string
+	// CPU is the processor share in thousandths of a core, Link the bandwidth
+	// of the instance's own link in Mbit/s.
+	CPU, Link int
 	// Boot orders the starts of an instance, Count the heartbeats of one boot.
 	Boot  int64
 	Count uint64
@@ -118,7 +121,7 @@
 		return
 	}
 	if known != nil {
-		known.Peers = b.Peers
+		known.Peers, known.CPU, known.Link = b.Peers, b.CPU, b.Link
 		return
 	}
 	t.rows[b.Name] = &row{Beat: b}
@@ -243,11 +246,5 @@
 	return live
 }
 
-// Names returns the names of all known instances, live or not.
-func (t *Table) Names() []string {
-	names := make([]string, 0, len(t.rows))
-	for name := range t.rows {
-		names = append(names, name)
-	}
-	return names
-}
+// Known returns the number of other known instances, live or not.
+func (t *Table) Known() int { return len(t.rows) }
--- a/core/steer/cold.go
+++ b/core/steer/cold.go
@@ -44,7 +44,7 @@
 
 // sendsToCold tells whether this instance is one of the senders of a target.
 func (e *Engine) sendsToCold(t *target) bool {
-	if !e.membersKnown {
+	if !e.membersKnown || !e.sender {
 		return false
 	}
 	own := coldRank(e.self.Name, t.hash)
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -29,15 +29,18 @@
 	evacuated map[string]bool
 	// peers is the number of other live instances.
 	peers int
-	// members are the names of all known instances, live or not.
+	// members are the names of the other instances that may send to cold
+	// targets, live or not.
 	members      []string
 	membersKnown bool
-	budgets      map[string]*budget
-	suspects     suspects
-	warm         warmth
-	learned      map[durationKey]*durations
-	trips        map[string]time.Duration
-	spills       map[string]*spill
+	// sender tells whether this instance may send to cold targets.
+	sender   bool
+	budgets  map[string]*budget
+	suspects suspects
+	warm     warmth
+	learned  map[durationKey]*durations
+	trips    map[string]time.Duration
+	spills   map[string]*spill
 	// pressures is the part of a service's arrivals that meet a long queue.
 	pressures map[string]float64
 	// credits hold the weighted round robin of each split route.
@@ -80,10 +83,11 @@
 	return true
 }
 
-// SetInstances states the number of other live instances and the names of all
-// known ones. Until the first call nothing is sent to cold targets.
-func (e *Engine) SetInstances(live int, known []string) {
-	e.peers, e.members, e.membersKnown = live, known, true
+// SetInstances states the number of other live instances, the names of the
+// others that may send to cold targets, live or not, and whether this one may.
+// Until the first call nothing is sent to cold targets.
+func (e *Engine) SetInstances(live int, senders []string, sender bool) {
+	e.peers, e.members, e.sender, e.membersKnown = live, senders, sender, true
 }
 
 // warmupOf is how long targets of a service stay cold.
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -401,7 +401,7 @@
 	is := is.New(t)
 	e := testEngine(t, "i", "a1")
 	addTargets(e, "s", 6, "a1")
-	e.SetInstances(10, nil)
+	e.SetInstances(10, nil, true)
 	refused := 0
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -433,7 +433,7 @@
 	}
 	// The views lag: each instance knows half of the others.
 	for _, e := range engines {
-		e.SetInstances(instances/2, nil)
+		e.SetInstances(instances/2, nil, true)
 	}
 	const seconds = 20
 	requests, repeats := make([]int, seconds), make([]int, seconds)
@@ -476,7 +476,7 @@
 				for p := range known {
 					peers = append(peers, fmt.Sprintf("i%d", (i+p+1)%instances))
 				}
-				e.SetInstances(0, peers)
+				e.SetInstances(0, peers, true)
 				cold := record("cold", "s", "a1")
 				cold.ColdFor = 10 * time.Second
 				e.PutTarget(start, cold)
@@ -516,7 +516,7 @@
 	e.PutTarget(start, cold)
 	_, refusal := e.Arrive(start, newTestRequest(e, start, "/read/1", 5))
 	is.Equal(refusal.Reason, ReasonNoTarget)
-	e.SetInstances(0, nil)
+	e.SetInstances(0, nil, true)
 	mustSend(t, e, start, newTestRequest(e, start, "/read/1", 5))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,7 @@
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.peers = newPeers(presence.Beat{
 		Name: node.Name, Zone: node.Zone, Requests: node.Requests,
-		Peers: peerAddress(node), Boot: g.boot,
+		Peers: peerAddress(node), Boot: g.boot, CPU: node.CPU, Link: node.Link,
 	})
 	return g
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -525,6 +525,28 @@
 	closeQuietly(conn)
 }
 
+// Guards against callers that are spread over weak instances while strong ones
+// are there, and against callers without an instance when a strong one is gone.
+func TestLookupsNameStrongInstances(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.target("i-1", ok)
+	a, b, weak := s.sized("a", 800, 200), s.sized("b", 800, 200), s.sized("c", 160, 10)
+	for _, g := range []*Gateway{a, b, weak} {
+		s.wait("all instances", func() bool { return len(g.serving()) == 3 })
+	}
+	named := func() string { return get(t, weak.node.Lookups, "/resolve?name=h.example&region=ra&zone=za").body }
+	body := named()
+	is.True(strings.Contains(body, a.node.Requests) && strings.Contains(body, b.node.Requests))
+	is.True(!strings.Contains(body, weak.node.Requests))
+	b.Cleanup()
+	s.wait("all that live are named", func() bool {
+		body := named()
+		return strings.Contains(body, a.node.Requests) && strings.Contains(body, weak.node.Requests) &&
+			!strings.Contains(body, b.node.Requests)
+	})
+}
+
 // Guards against orders that are lost one after the other, and targets that are
 // avoided, when targets forget idle connections without a word.
 func TestForgottenConnectionsLoseFewRequests(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -80,6 +80,12 @@
 
 // instance starts a gateway of zone za.
 func (s *site) instance(name string) *Gateway {
+	s.t.Helper()
+	return s.sized(name, 320, 1000)
+}
+
+// sized starts a gateway on a machine of a size.
+func (s *site) sized(name string, cpu, link int) *Gateway {
 	s.t.Helper()
 	ports := freePorts(s.t, 5)
 	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
@@ -87,7 +93,7 @@
 		Name: name, Address: "127.0.0.1", Zone: "za", Region: "ra",
 		Zones:    map[string]string{"za": "ra", "zb": "rb"},
 		Requests: address(0), Readiness: address(1), Lookups: address(2), PeerPort: ports[3], Metrics: address(4),
-		Store: s.store.Address(),
+		Store: s.store.Address(), CPU: cpu, Link: link,
 		Bounds: platform.Bounds{RepeatRatio: 0.2, RepeatExtra: 60, RepeatWindow: 10 * time.Second,
 			LookupTTL: 5 * time.Second, Grace: 6 * time.Second},
 	})
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -49,6 +50,8 @@
 	fieldFlags
 	fieldDocument
 	fieldRegistry
+	fieldCPU
+	fieldLink
 )
 
 const (
@@ -76,11 +79,12 @@
 
 func appendBeat(dst []byte, field protowire.Number, b presence.Beat) []byte {
 	var body []byte
-	for number, text := range map[protowire.Number]string{
-		fieldName: b.Name, fieldZone: b.Zone, fieldRequests: b.Requests, fieldPeers: b.Peers,
+	for number, value := range map[protowire.Number][]byte{
+		fieldName: []byte(b.Name), fieldZone: []byte(b.Zone),
+		fieldRequests: packAddress(b.Requests), fieldPeers: packAddress(b.Peers),
 	} {
 		body = protowire.AppendTag(body, number, protowire.BytesType)
-		body = protowire.AppendString(body, text)
+		body = protowire.AppendBytes(body, value)
 	}
 	flags := uint64(0)
 	if b.Ready {
@@ -92,6 +96,7 @@
 	for number, value := range map[protowire.Number]uint64{
 		fieldBoot: uint64(b.Boot), fieldCount: b.Count, fieldFlags: flags,
 		fieldDocument: b.Document, fieldRegistry: b.Registry,
+		fieldCPU: uint64(b.CPU), fieldLink: uint64(b.Link),
 	} {
 		body = protowire.AppendTag(body, number, protowire.VarintType)
 		body = protowire.AppendVarint(body, value)
@@ -214,11 +219,13 @@
 		body = body[n:]
 		switch kind {
 		case protowire.BytesType:
-			text, m := protowire.ConsumeString(body)
+			value, m := protowire.ConsumeBytes(body)
 			if m < 0 {
 				return b, errHeartbeat
 			}
-			setText(&b, number, text)
+			if err := setBytes(&b, number, value); err != nil {
+				return b, err
+			}
 			n = m
 		case protowire.VarintType:
 			value, m := protowire.ConsumeVarint(body)
@@ -235,19 +242,47 @@
 	return b, nil
 }
 
-func setText(b *presence.Beat, number protowire.Number, text string) {
+// packAddress encodes an IP and port in 6 bytes for IPv4; text takes up to 21.
+func packAddress(address string) []byte {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil
+	}
+	packed, err := parsed.MarshalBinary()
+	if err != nil {
+		return nil
+	}
+	return packed
+}
+
+func unpackAddress(packed []byte) (string, error) {
+	if len(packed) == 0 {
+		return "", nil
+	}
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(packed); err != nil {
+		return "", errHeartbeat
+	}
+	return address.String(), nil
+}
+
+func setBytes(b *presence.Beat, number protowire.Number, value []byte) (err error) {
 	switch number {
 	case fieldName:
-		b.Name = text
+		b.Name = string(value)
 	case fieldZone:
-		b.Zone = text
+		b.Zone = string(value)
 	case fieldRequests:
-		b.Requests = text
+		b.Requests, err = unpackAddress(value)
 	case fieldPeers:
-		b.Peers = text
+		b.Peers, err = unpackAddress(value)
 	}
+	return err
 }
 
+// sizeMost bounds a processor share or a link that is heard.
+const sizeMost = 1 << 30
+
 func setNumber(b *presence.Beat, number protowire.Number, value uint64) {
 	switch number {
 	case fieldBoot:
@@ -261,5 +296,9 @@
 		b.Document = value
 	case fieldRegistry:
 		b.Registry = value
+	case fieldCPU:
+		b.CPU = int(min(value, sizeMost))
+	case fieldLink:
+		b.Link = int(min(value, sizeMost))
 	}
 }
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -13,7 +13,7 @@
 var testBeat = presence.Beat{
 	Name: "front-gau-a-10", Zone: "gau-a", Requests: "10.10.10.15:8641", Peers: "10.10.10.15:7620",
 	Boot: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano(), Count: 1 << 20, Ready: true, Leaving: true,
-	Document: 1 << 30, Registry: 1 << 30,
+	Document: 1 << 30, Registry: 1 << 30, CPU: 64_000, Link: 100_000,
 }
 
 // Guards against heartbeats that outgrow the traffic that is planned for them.
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -91,10 +92,8 @@
 	}
 	for i, in := range groups {
 		var addresses []string
-		for _, b := range instances {
-			if in(b) {
-				addresses = append(addresses, b.Requests)
-			}
+		for _, b := range namedIn(instances, in) {
+			addresses = append(addresses, b.Requests)
 		}
 		if len(addresses) >= zoneEnough || i > 0 && len(addresses) > 0 {
 			return addresses[:min(len(addresses), lookupMost)]
@@ -103,6 +102,21 @@
 	return nil
 }
 
+// namedIn returns the instances of a group of zones to which callers are sent.
+func namedIn(instances []presence.Beat, in func(presence.Beat) bool) []presence.Beat {
+	zones := map[string][]presence.Beat{}
+	for _, b := range instances {
+		if in(b) {
+			zones[b.Zone] = append(zones[b.Zone], b)
+		}
+	}
+	var named []presence.Beat
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		named = append(named, presence.Named(zones[zone])...)
+	}
+	return named
+}
+
 // serving returns the instances that serve requests, this one included.
 func (g *Gateway) serving() []presence.Beat {
 	var serving []presence.Beat
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -116,12 +116,23 @@
 	}
 }
 
-// counts returns the number of live instances and the names of all known ones;
-// read tells whether the rows of all instances were read.
-func (p *peers) counts(now time.Time) (live int, known []string, read bool) {
+// fleet is what an instance knows of the others.
+type fleet struct {
+	live, known int
+	// senders are the others that may send to cold targets; sender tells
+	// whether this one may.
+	senders []string
+	sender  bool
+	// read is set once the rows of all instances were read.
+	read bool
+}
+
+func (p *peers) fleet(now time.Time) fleet {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.table.Live(now)), p.table.Names(), p.read
+	f := fleet{live: len(p.table.Live(now)), known: p.table.Known(), read: p.read}
+	f.senders, f.sender = p.table.ColdSenders()
+	return f
 }
 
 func (p *peers) live(now time.Time) []presence.Beat {
@@ -140,16 +151,16 @@
 		Ready: g.ready(), Leaving: g.leaving.Load(),
 		Document: g.documents.version(), Registry: g.registry.version(),
 	}, breaks, seen)
-	live, known, read := g.peers.counts(now)
-	if live == 0 && len(known) > 0 || g.registry.behindFor(now) > ownPathTime {
+	fleet := g.peers.fleet(now)
+	if fleet.live == 0 && fleet.known > 0 || g.registry.behindFor(now) > ownPathTime {
 		g.store.blameOwnPath()
 	}
-	if !read {
+	if !fleet.read {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.engine.SetInstances(live, known)
+	g.engine.SetInstances(fleet.live, fleet.senders, fleet.sender)
 }
 
 // keepMembership writes the own row, reads those of others and sends
@@ -188,7 +199,10 @@
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
 	self := g.peers.table.Self()
-	return platform.Member{Name: self.Name, Requests: self.Requests, Peers: self.Peers, Zone: self.Zone, Boot: self.Boot}
+	return platform.Member{
+		Name: self.Name, Requests: self.Requests, Peers: self.Peers, Zone: self.Zone, Boot: self.Boot,
+		CPU: self.CPU, Link: self.Link,
+	}
 }
 
 func (g *Gateway) readMembers() error {
@@ -200,7 +214,9 @@
 	defer g.peers.mu.Unlock()
 	g.peers.read = true
 	for _, m := range members {
-		g.peers.table.Learn(presence.Beat{Name: m.Name, Zone: m.Zone, Requests: m.Requests, Peers: m.Peers, Boot: m.Boot})
+		g.peers.table.Learn(presence.Beat{
+			Name: m.Name, Zone: m.Zone, Requests: m.Requests, Peers: m.Peers, Boot: m.Boot, CPU: m.CPU, Link: m.Link,
+		})
 	}
 	return nil
 }
