--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -395,55 +395,43 @@
 	}
 }
 
-// Guards against refusing work when targets shed in a burst, as they do when a
-// queue is full for a moment: what the last second's requests allow may be used
-// at once.
-func TestRepeatsMayComeInBursts(t *testing.T) {
-	is := is.New(t)
-	e := testEngine(t, "i", "a1")
-	addTargets(e, "s", 6, "a1")
-	e.SetInstances(10, nil, true)
-	refused := 0
-	for i := range 2000 {
-		now := start.Add(time.Duration(i) * 5 * time.Millisecond)
-		r := newTestRequest(e, now, "/read/1", uint64(i))
-		s := mustSend(t, e, now, r)
-		if i%100 < 15 && i >= 200 {
-			next, refusal := finish(e, now, r, s, Shed)
-			if refusal != nil {
-				refused++
-				continue
-			}
-			s = next
-		}
-		finish(e, now, r, s, Answered)
-	}
-	is.Equal(refused, 0)
-}
-
 // Guards against refusing work that the users' rule leaves repeats for: they
-// allow 0.2 of the requests, and 18 in 100 meet a target that sheds.
+// allow 0.2 of the requests. Targets also shed in bursts, as when a queue is
+// full for a moment.
 func TestRepeatsAllowedAreMade(t *testing.T) {
-	is := is.New(t)
-	e := testEngine(t, "i", "a1")
-	addTargets(e, "s", 6, "a1")
-	e.SetInstances(10, nil, true)
-	refused := 0
-	for i := range 1000 {
-		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-		r := newTestRequest(e, now, "/read/1", uint64(i))
-		s := mustSend(t, e, now, r)
-		if i*18%100 < 18 {
-			next, refusal := finish(e, now, r, s, Shed)
-			if refusal != nil {
-				refused++
-				continue
+	for _, test := range []struct {
+		name  string
+		every time.Duration
+		sheds func(i int) bool
+		// refused is the number of the first ones, before the budget has filled.
+		refused int
+	}{
+		{"18 of 100, spread", 100 * time.Millisecond, func(i int) bool { return i*18%100 < 18 }, 10},
+		{"15 in a row of each 100", 5 * time.Millisecond, func(i int) bool { return i%100 < 15 && i >= 200 }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 6, "a1")
+			e.SetInstances(10, nil, true)
+			refused := 0
+			for i := range 2000 {
+				now := start.Add(time.Duration(i) * test.every)
+				r := newTestRequest(e, now, "/read/1", uint64(i))
+				s := mustSend(t, e, now, r)
+				if test.sheds(i) {
+					next, refusal := finish(e, now, r, s, Shed)
+					if refusal != nil {
+						refused++
+						continue
+					}
+					s = next
+				}
+				finish(e, now, r, s, Answered)
 			}
-			s = next
-		}
-		finish(e, now, r, s, Answered)
+			is.True(refused <= test.refused)
+		})
 	}
-	is.True(refused <= 10) // the first ones, before the budget has filled
 }
 
 // Guards against a shared bound that each instance takes for its own: repeats
