presence: named instances send pulses; a zone's relay is a named instance

Cause: with few instances named, the death of both of a zone leaves its callers without one until others know. And the relay, chosen by hash, could be a weak instance whose link of 10 Mbit/s delays what it passes on to its zone.

Callers keep lookups for 1 s instead of 2 s. The relay is the first by hash of the named instances. Unnamed ones open no connections ahead.

Ruled out: pulses in crowded zones (19 KB/s for 53 instances).

TestDeathOfAnInstanceWithCallersIsSeenSoon holds.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -17,6 +17,13 @@
 	// deadAfter is four lost heartbeats; a lookup may name a dead instance for
 	// at most about twice that time.
 	deadAfter = 3 * time.Second
+	// Pulses are the short heartbeats between two others that an instance sends
+	// to its zone while callers are sent to it: few instances then serve a zone,
+	// and their callers need another one soon.
+	Pulses = 2
+	// quickDeadAfter replaces deadAfter for those that send pulses: five lost
+	// heartbeats.
+	quickDeadAfter = 5 * Interval / (Pulses + 1)
 	// crowdDeadAfter replaces it in a zone with more than zoneFanout others,
 	// where most heartbeats come as copies.
 	crowdDeadAfter = 4500 * time.Millisecond
@@ -59,6 +66,8 @@
 	// Ready says that the instance serves requests.
 	Ready   bool
 	Leaving bool
+	// Quick says that the instance sends pulses to all others of its zone.
+	Quick bool
 	// Document and Registry are the versions of the newest changes known to
 	// the instance.
 	Document uint64
@@ -92,13 +101,18 @@
 
 // State is what an instance says of itself.
 type State struct {
-	Ready, Leaving     bool
+	Ready, Leaving bool
+	// Named says that callers are sent to the instance.
+	Named              bool
 	Document, Registry uint64
 }
 
 func (t *Table) isLive(now time.Time, r *row) bool {
 	limit := deadAfter
-	if t.crowded {
+	switch {
+	case r.Quick && r.Zone == t.self.Zone:
+		limit = quickDeadAfter
+	case t.crowded:
 		limit = crowdDeadAfter
 	}
 	return now.Sub(r.heard) < limit && !r.Leaving
@@ -107,6 +121,8 @@
 // SetState sets what the own heartbeats say.
 func (t *Table) SetState(s State) {
 	t.self.Ready, t.self.Leaving = s.Ready, s.Leaving
+	// In a crowded zone pulses to all others would cost too much.
+	t.self.Quick = s.Named && !t.crowded
 	t.self.Document, t.self.Registry = s.Document, s.Registry
 }
 
@@ -205,6 +221,22 @@
 	return t.self, sendings
 }
 
+// Pulse counts a short heartbeat and returns it with the addresses that are to
+// get it: none unless callers are sent to this instance.
+func (t *Table) Pulse(now time.Time) (Beat, []string) {
+	if !t.self.Quick {
+		return t.self, nil
+	}
+	t.self.Count++
+	var to []string
+	for _, r := range t.sorted() {
+		if r.Zone == t.self.Zone && t.isLive(now, r) {
+			to = append(to, r.Peers)
+		}
+	}
+	return t.self, to
+}
+
 // copiesOf returns heartbeats to pass on. An old one would make a dead instance
 // look alive elsewhere.
 func (t *Table) copiesOf(now time.Time, rows []*row, most int) []Beat {
--- a/core/presence/presence_test.go
+++ b/core/presence/presence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,10 @@
 	sent    int
 	near    int
 	copies  int
+	pulses  int
 	offsets map[string]time.Duration
+	// named are the instances that callers are sent to.
+	named []string
 }
 
 func newFleet(instances, zones int, loss float64) *fleet {
@@ -52,8 +56,12 @@
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
 		for _, name := range f.names {
 			phase := f.now.Sub(start) - f.offsets[name]
-			if !f.dead[name] && phase >= 0 && phase%Interval < step {
+			switch {
+			case f.dead[name] || phase < 0:
+			case phase%Interval < step:
 				f.beat(name)
+			case phase%(Interval/(Pulses+1)) < step:
+				f.pulse(name)
 			}
 		}
 		if check != nil {
@@ -63,21 +71,33 @@
 }
 
 func (f *fleet) beat(name string) {
-	own, sendings := f.tables[name].Next(f.now)
+	table := f.tables[name]
+	table.SetState(State{Ready: true, Named: slices.Contains(f.named, name)})
+	own, sendings := table.Next(f.now)
 	for _, s := range sendings {
-		f.sent++
 		f.copies += len(s.Copies)
 		if s.Near {
 			f.near++
 		}
-		if f.dead[s.To] || f.rand.Float64() < f.loss {
-			continue
-		}
-		to := f.tables[s.To]
-		to.Hear(f.now, own)
-		for _, beat := range s.Copies {
-			to.Hear(f.now, beat)
-		}
+		f.deliver(s.To, append(s.Copies, own)...)
+	}
+}
+
+func (f *fleet) pulse(name string) {
+	own, addresses := f.tables[name].Pulse(f.now)
+	for _, address := range addresses {
+		f.pulses++
+		f.deliver(address, own)
+	}
+}
+
+func (f *fleet) deliver(to string, beats ...Beat) {
+	f.sent++
+	if f.dead[to] || f.rand.Float64() < f.loss {
+		return
+	}
+	for _, beat := range beats {
+		f.tables[to].Hear(f.now, beat)
 	}
 }
 
@@ -142,20 +162,51 @@
 	}
 }
 
+// Guards against callers that are left with a dead instance for long: where few
+// instances serve a zone, the others of the zone know within 1.5 s, also at 5%
+// loss, and nobody that lives is taken for dead.
+func TestDeathOfAnInstanceWithCallersIsSeenSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(74, 6, 0.05)
+	const callers = 2
+	f.named = f.names[:6*callers] // two in each zone
+	f.run(10*time.Second, nil)
+	victim := f.named[0]
+	f.run(20*time.Second, func() {
+		for _, name := range f.names {
+			for _, other := range f.named {
+				if other != name && f.tables[name].self.Zone == f.tables[other].self.Zone {
+					is.True(f.sees(name, other))
+				}
+			}
+		}
+	})
+	f.dead[victim] = true
+	f.run(1500*time.Millisecond, nil)
+	for _, name := range f.names {
+		if name != victim && f.tables[name].self.Zone == f.tables[victim].self.Zone {
+			is.True(!f.sees(name, victim))
+		}
+	}
+}
+
 // Guards against heartbeats that grow with the fleet: 14 KB/s are allowed for
 // all control traffic of an instance.
 func TestTrafficPerInstanceIsBounded(t *testing.T) {
 	is := is.New(t)
-	// A beat takes up to 90 bytes, what is told of targets within a zone up to
+	// A beat takes up to 80 bytes, what is told of targets within a zone up to
 	// 256 (TestHeartbeatIsSmall of gateway), a datagram 28 more.
-	const beatBytes, seenBytes, datagramBytes = 90, 256, 28
+	const beatBytes, seenBytes, datagramBytes = 80, 256, 28
 	for _, instances := range []int{74, 480} {
 		f := newFleet(instances, 9, 0)
+		f.named = f.names[:2*9]
 		const length = 20
 		f.run(length*time.Second, nil)
-		bytes := float64(f.sent*(beatBytes+datagramBytes)+f.near*seenBytes+f.copies*beatBytes) / length / float64(instances)
-		t.Logf("%d instances: %.0f bytes/s", instances, bytes)
-		is.True(bytes < 14_000)
+		bytes := float64((f.sent-f.pulses)*(beatBytes+datagramBytes)+f.near*seenBytes+f.copies*beatBytes) / length / float64(instances)
+		// Named instances send pulses beside.
+		pulses := float64(f.pulses*(beatBytes+datagramBytes)) / length / float64(len(f.named))
+		t.Logf("%d instances: %.0f bytes/s, and %.0f of pulses", instances, bytes, pulses)
+		is.True(bytes+pulses < 14_000)
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -539,12 +539,23 @@
 	body := named()
 	is.True(strings.Contains(body, a.node.Requests) && strings.Contains(body, b.node.Requests))
 	is.True(!strings.Contains(body, weak.node.Requests))
+	is.True(a.named() && b.named() && !weak.named()) // who keeps connections ready
+	_, relayed := weak.sourceOf(0, true)
+	is.True(relayed) // a weak instance follows a strong one, whatever their names
+	relays := 0
+	for _, g := range []*Gateway{a, b} {
+		if _, relayed := g.sourceOf(0, true); !relayed {
+			relays++
+		}
+	}
+	is.Equal(relays, 1)
 	b.Cleanup()
 	s.wait("all that live are named", func() bool {
 		body := named()
 		return strings.Contains(body, a.node.Requests) && strings.Contains(body, weak.node.Requests) &&
 			!strings.Contains(body, b.node.Requests)
 	})
+	is.True(weak.named())
 }
 
 // Guards against orders that are lost one after the other, and targets that are
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -57,6 +57,7 @@
 const (
 	flagReady = 1 << iota
 	flagLeaving
+	flagQuick
 )
 
 func encodeHeartbeat(h heartbeat) []byte {
@@ -93,6 +94,9 @@
 	if b.Leaving {
 		flags |= flagLeaving
 	}
+	if b.Quick {
+		flags |= flagQuick
+	}
 	for number, value := range map[protowire.Number]uint64{
 		fieldBoot: uint64(b.Boot), fieldCount: b.Count, fieldFlags: flags,
 		fieldDocument: b.Document, fieldRegistry: b.Registry,
@@ -292,6 +296,7 @@
 	case fieldFlags:
 		b.Ready = value&flagReady != 0
 		b.Leaving = value&flagLeaving != 0
+		b.Quick = value&flagQuick != 0
 	case fieldDocument:
 		b.Document = value
 	case fieldRegistry:
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -12,19 +12,19 @@
 
 var testBeat = presence.Beat{
 	Name: "front-gau-a-10", Zone: "gau-a", Requests: "10.10.10.15:8641", Peers: "10.10.10.15:7620",
-	Boot: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano(), Count: 1 << 20, Ready: true, Leaving: true,
+	Boot: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano(), Count: 1 << 20, Ready: true, Leaving: true, Quick: true,
 	Document: 1 << 30, Registry: 1 << 30, CPU: 64_000, Link: 100_000,
 }
 
 // Guards against heartbeats that outgrow the traffic that is planned for them.
 func TestHeartbeatIsSmall(t *testing.T) {
 	is := is.New(t)
-	is.True(len(encodeHeartbeat(heartbeat{own: testBeat})) <= 90)
+	is.True(len(encodeHeartbeat(heartbeat{own: testBeat})) <= 80)
 	var seen []steer.Observation
 	for range 16 { // 12 busy and 4 silent targets
 		seen = append(seen, steer.Observation{Target: 1 << 63, Load: 12})
 	}
-	is.True(len(encodeHeartbeat(heartbeat{own: testBeat, seen: seen})) <= 90+256)
+	is.True(len(encodeHeartbeat(heartbeat{own: testBeat, seen: seen})) <= 80+256)
 }
 
 func TestHeartbeatRoundTrip(t *testing.T) {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -16,8 +16,8 @@
 
 const (
 	// lookupTTL is how long callers may keep an answer: short, since a dead
-	// instance stays with them for this time.
-	lookupTTL = 2 * time.Second
+	// instance stays with them for this time, and few are named.
+	lookupTTL = time.Second
 	// lookupMost is the number of addresses that callers take.
 	lookupMost = 64
 	// zoneEnough is the number of instances in the caller's own zone from
@@ -117,6 +117,12 @@
 	return named
 }
 
+// named tells whether callers of the own zone are sent to this instance.
+func (g *Gateway) named() bool {
+	named := namedIn(g.serving(), func(b presence.Beat) bool { return b.Zone == g.node.Zone })
+	return slices.ContainsFunc(named, func(b presence.Beat) bool { return b.Name == g.node.Name })
+}
+
 // serving returns the instances that serve requests, this one included.
 func (g *Gateway) serving() []presence.Beat {
 	var serving []presence.Beat
@@ -126,9 +132,14 @@
 		}
 	}
 	if g.ready() {
-		g.peers.mu.Lock()
-		serving = append(serving, g.peers.table.Self())
-		g.peers.mu.Unlock()
+		serving = append(serving, g.self())
 	}
 	return serving
 }
+
+// self returns the own newest heartbeat.
+func (g *Gateway) self() presence.Beat {
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	return g.peers.table.Self()
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -67,17 +67,31 @@
 	own, sendings := p.table.Next(now)
 	p.mu.Unlock()
 	for _, sending := range sendings {
-		peer, err := net.ResolveUDPAddr("udp4", sending.To)
 		message := heartbeat{own: own, others: sending.Copies, breaks: breaks}
 		if sending.Near {
 			message.seen = seen
 		}
-		if err == nil {
-			_, err = p.conn.WriteToUDP(encodeHeartbeat(message), peer)
-		}
-		if err != nil {
-			telemetry.Debug("heartbeat_not_sent", telemetry.F("peer", sending.To), telemetry.F("error", err))
-		}
+		p.write(sending.To, message)
+	}
+}
+
+// pulse sends a short heartbeat to the zone while callers are sent here.
+func (p *peers) pulse(now time.Time) {
+	p.mu.Lock()
+	own, addresses := p.table.Pulse(now)
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.write(address, heartbeat{own: own})
+	}
+}
+
+func (p *peers) write(address string, message heartbeat) {
+	peer, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		_, err = p.conn.WriteToUDP(encodeHeartbeat(message), peer)
+	}
+	if err != nil {
+		telemetry.Debug("heartbeat_not_sent", telemetry.F("peer", address), telemetry.F("error", err))
 	}
 }
 
@@ -148,7 +162,7 @@
 	breaks, seen := g.engine.Breaks(now), g.engine.Observations(now)
 	g.mu.Unlock()
 	g.peers.send(now, presence.State{
-		Ready: g.ready(), Leaving: g.leaving.Load(),
+		Ready: g.ready(), Leaving: g.leaving.Load(), Named: g.named(),
 		Document: g.documents.version(), Registry: g.registry.version(),
 	}, breaks, seen)
 	fleet := g.peers.fleet(now)
@@ -191,14 +205,16 @@
 func (g *Gateway) sendBeats() {
 	for g.ctx.Err() == nil {
 		g.beat()
-		pause(g.ctx, presence.Interval)
+		for range presence.Pulses {
+			pause(g.ctx, presence.Interval/(presence.Pulses+1))
+			g.peers.pulse(time.Now())
+		}
+		pause(g.ctx, presence.Interval/(presence.Pulses+1))
 	}
 }
 
 func (g *Gateway) member() platform.Member {
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	self := g.peers.table.Self()
+	self := g.self()
 	return platform.Member{
 		Name: self.Name, Requests: self.Requests, Peers: self.Peers, Zone: self.Zone, Boot: self.Boot,
 		CPU: self.CPU, Link: self.Link,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -166,7 +167,7 @@
 		// The store may be away while this instance starts.
 		address = rescuerOf(g.node.Zone, live)
 	case failures == 0 && g.relays.trusted(now):
-		address = relayOf(g.node.Zone, g.node.Name, live)
+		address = relayOf(g.self(), live)
 	}
 	if address == "" {
 		return g.client, false
@@ -185,18 +186,23 @@
 }
 
 // relayOf returns the address of the zone's relay, or nothing if that is the
-// instance itself. All that see the same live instances choose the same.
-func relayOf(zone, self string, live []presence.Beat) string {
-	best, address := xxhash.Sum64String(self), ""
+// instance itself. All that see the same live instances choose the same one. It
+// is among those that lookups name, since a weak instance's link would delay
+// what it passes on to a whole zone.
+func relayOf(self presence.Beat, live []presence.Beat) string {
+	candidates := []presence.Beat{self}
 	for _, beat := range live {
-		if beat.Zone != zone || !beat.Ready {
-			continue
-		}
-		if rank := xxhash.Sum64String(beat.Name); rank < best {
-			best, address = rank, beat.Peers
+		if beat.Zone == self.Zone && beat.Ready {
+			candidates = append(candidates, beat)
 		}
 	}
-	return address
+	relay := slices.MinFunc(presence.Named(candidates), func(a, b presence.Beat) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	if relay.Name == self.Name {
+		return ""
+	}
+	return relay.Peers
 }
 
 // relayAnswer is the body of a relay's answer.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -18,10 +18,11 @@
 	standbyDials = 8
 )
 
-// keepStandby keeps connections open to the targets that decisions name.
+// keepStandby keeps connections open to the targets that decisions name, while
+// callers are sent to this instance.
 func (g *Gateway) keepStandby() {
 	for g.ctx.Err() == nil {
-		if !g.leaving.Load() {
+		if !g.leaving.Load() && g.named() {
 			g.mu.Lock()
 			wanted := g.engine.Standby(time.Now())
 			g.mu.Unlock()
