virtual: one clock for the model, the scenarios and the simulations

Cause: five heaps of timers with a virtual clock each (scenario, scenario/fleet, core/control, core/traffic, core/model).

Change: core/virtual; the five are gone.

Ruled out: changes of order.

--- a/core/model/target.go
+++ b/core/model/target.go
@@ -53,7 +53,7 @@
 	} else {
 		w.result.cold(r.call)
 	}
-	w.after(time.Duration(t.slow*float64(work)), func() { t.finish(r) })
+	w.After(time.Duration(t.slow*float64(work)), func() { t.finish(r) })
 }
 
 func (t *target) finish(r *run) {
@@ -121,7 +121,7 @@
 			t.crash()
 		}
 	}
-	w.after(e.For, func() {
+	w.After(e.For, func() {
 		for _, t := range hit {
 			switch e.Kind {
 			case Slow:
--- /dev/null
+++ b/core/virtual/virtual_test.go
@@ -0,0 +1,42 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against runs that do not repeat: steps run by time, and those of one
+// time in the order in which they were scheduled.
+func TestStepsRunInOrder(t *testing.T) {
+	is := is.New(t)
+	c := Clock{Now: time.Unix(100, 0)}
+	var ran []string
+	note := func(name string) func() { return func() { ran = append(ran, name) } }
+	c.After(2*time.Second, note("b"))
+	c.After(time.Second, func() {
+		ran = append(ran, "a")
+		c.After(time.Second, note("c"))
+		c.After(-time.Second, note("now"))
+	})
+	c.After(3*time.Second, note("end"))
+	c.RunBefore(time.Unix(103, 0))
+	is.Equal(ran, []string{"a", "now", "b", "c"})
+	is.Equal(c.Now, time.Unix(103, 0))
+	c.RunTo(time.Unix(103, 0))
+	is.Equal(ran[4:], []string{"end"})
+}
+
+// Guards against repeated steps that go on for good.
+func TestEveryEnds(t *testing.T) {
+	is := is.New(t)
+	c := Clock{Now: time.Unix(100, 0)}
+	var at []time.Duration
+	c.Every(time.Second, 3*time.Second, func() bool {
+		at = append(at, c.Now.Sub(time.Unix(100, 0)))
+		return len(at) < 3
+	})
+	c.RunAll()
+	is.Equal(at, []time.Duration{time.Second, 4 * time.Second, 7 * time.Second})
+}
--- a/scenario/events.go
+++ b/scenario/events.go
@@ -128,7 +128,7 @@
 func (u *upstream) setCold(on bool) {
 	u.coldSince = time.Time{}
 	if on {
-		u.coldSince = u.world.now
+		u.coldSince = u.world.Now
 	}
 }
 
@@ -144,7 +144,7 @@
 	do = func(w *world) {
 		for _, id := range ids {
 			w.upstreams[id].leave(args[1])
-			w.awaitDrained(w.upstreams[id], w.now)
+			w.awaitDrained(w.upstreams[id], w.Now)
 		}
 		if args[1] == "document" {
 			w.setDraining(ids, true)
--- a/scenario/fleet/events.go
+++ b/scenario/fleet/events.go
@@ -58,7 +58,7 @@
 		if undo == nil {
 			return fmt.Errorf("%s does not end by itself", words[0])
 		}
-		w.after(duration, func() {
+		w.After(duration, func() {
 			w.logf("end of %s", e.text)
 			undo()
 		})
@@ -149,7 +149,7 @@
 // replace starts a new instance and lets the old one leave.
 func (in *instance) replace() {
 	in.w.start(in.slot, in.zone, "")
-	in.w.after(overlap, in.leave)
+	in.w.After(overlap, in.leave)
 }
 
 // doRoll replaces all instances one after the other.
@@ -157,7 +157,7 @@
 	interval, err := time.ParseDuration(args[0])
 	all, _ := w.named("all")
 	for i, in := range all {
-		w.after(time.Duration(i)*interval, in.replace)
+		w.After(time.Duration(i)*interval, in.replace)
 	}
 	return nil, err
 }
--- a/scenario/fleet/fault.go
+++ b/scenario/fleet/fault.go
@@ -71,7 +71,7 @@
 func (f fault) commit(r *remote, c tables.Commit) tables.Commit {
 	if f == faultContents || f == faultLost {
 		r.wait(func(resume func()) {
-			r.store.w.after(time.Duration(r.edit.number-1)*blindDelay, resume)
+			r.store.w.After(time.Duration(r.edit.number-1)*blindDelay, resume)
 		})
 		c.Conditions = nil
 	}
--- a/scenario/fleet/measure.go
+++ b/scenario/fleet/measure.go
@@ -29,7 +29,7 @@
 
 // await measures the time until a condition is met.
 func (w *world) await(kind, text string, met func() bool) {
-	s := &span{kind: kind, text: text, from: w.now, met: met}
+	s := &span{kind: kind, text: text, from: w.Now, met: met}
 	w.spans, w.open = append(w.spans, s), append(w.open, s)
 }
 
@@ -73,7 +73,7 @@
 		if !s.met() {
 			return false
 		}
-		s.to = w.now
+		s.to = w.Now
 		if s.text != "" {
 			w.logf("%s", s.text)
 		}
--- a/scenario/instance.go
+++ b/scenario/instance.go
@@ -87,13 +87,13 @@
 	in.world.check.seen(ev)
 	ev, ok := in.world.settings.Fault.event(ev)
 	if ok {
-		in.execute(in.decider.Handle(in.world.clock.now, ev))
+		in.execute(in.decider.Handle(in.world.clock.Now, ev))
 	}
 }
 
 func (in *instance) tick() {
 	if in.alive && in.pausedAt.IsZero() {
-		in.execute(in.decider.Tick(in.world.clock.now))
+		in.execute(in.decider.Tick(in.world.clock.Now))
 	}
 }
 
@@ -121,10 +121,10 @@
 }
 
 func (in *instance) open(id traffic.RequestID, attempt traffic.Attempt, deadline time.Time) *exchange {
-	now := in.world.clock.now
+	now := in.world.clock.Now
 	x := &exchange{in: in, id: id, attempt: attempt, started: now, deadline: deadline, abort: func() {}}
 	in.inbound[id].exchanges = append(in.inbound[id].exchanges, x)
-	in.world.clock.after(deadline.Sub(now), func() {
+	in.world.clock.After(deadline.Sub(now), func() {
 		if !x.ended {
 			x.abort()
 			x.end(traffic.TimedOut, false, nil)
@@ -148,7 +148,7 @@
 	}
 	x.ended = true
 	ended.ID, ended.Attempt = x.id, x.attempt
-	ended.Latency = x.in.world.clock.now.Sub(x.started)
+	ended.Latency = x.in.world.clock.Now.Sub(x.started)
 	x.in.handle(ended)
 }
 
@@ -177,7 +177,7 @@
 	x := in.open(a.ID, a.Attempt, a.Deadline)
 	c := in.inbound[a.ID].call
 	if w.network.link(in.zone, peer.zone).cut || peer.silent {
-		w.clock.after(dialTimeout, func() { x.end(traffic.NotSent, false, nil) })
+		w.clock.After(dialTimeout, func() { x.end(traffic.NotSent, false, nil) })
 		return
 	}
 	from := &traffic.Forwarded{From: in.id, FromRegion: w.region(in.zone), ToOwner: a.ToOwner, ShiftCharged: a.ShiftCharged, Runs: a.Runs}
@@ -240,7 +240,7 @@
 	for _, x := range in.inbound[a.ID].exchanges {
 		if x.attempt == a.Attempt && !x.ended {
 			x.abort()
-			in.world.clock.after(0, func() { x.end(traffic.CanceledByCaller, false, nil) })
+			in.world.clock.After(0, func() { x.end(traffic.CanceledByCaller, false, nil) })
 		}
 	}
 }
@@ -291,19 +291,19 @@
 			w.network.send(peer.zone, in.zone, 0, func() { waiting--; done() })
 		})
 	}
-	w.clock.after(a.Timeout, func() {
+	w.clock.After(a.Timeout, func() {
 		if waiting > 0 {
 			waiting = 0
 			done()
 		}
 	})
-	w.clock.after(0, done)
+	w.clock.After(0, done)
 }
 
 // exit ends the process at once. With a silent host nobody is told.
 func (in *instance) exit() {
 	in.alive, in.pausedAt, in.backlog = false, time.Time{}, nil
-	in.awaySince = in.world.now
+	in.awaySince = in.world.Now
 	for _, id := range in.requests() {
 		request := in.inbound[id]
 		for _, x := range request.exchanges {
@@ -332,11 +332,11 @@
 // resume ends a pause: what arrived meanwhile is handled now. After a gap
 // beyond the lease the instance holds nothing until it is confirmed.
 func (in *instance) resume() {
-	gap := in.world.clock.now.Sub(in.pausedAt)
+	gap := in.world.clock.Now.Sub(in.pausedAt)
 	in.pausedAt = time.Time{}
 	if gap > leaseGap {
 		in.handle(traffic.ShardsChanged{})
-		in.world.clock.after(time.Second, func() { in.handle(traffic.ShardsChanged{Held: in.shards}) })
+		in.world.clock.After(time.Second, func() { in.handle(traffic.ShardsChanged{Held: in.shards}) })
 	}
 	backlog := in.backlog
 	in.backlog = nil
--- a/scenario/network.go
+++ b/scenario/network.go
@@ -57,7 +57,7 @@
 	if l.cut {
 		return
 	}
-	n.clock.after(n.delay(l), func() {
+	n.clock.After(n.delay(l), func() {
 		if !l.cut {
 			deliver()
 		}
--- a/scenario/stats.go
+++ b/scenario/stats.go
@@ -76,19 +76,19 @@
 
 func (s *stats) offered(r *request) { s.cell(r, r.born).offered++ }
 
-func (s *stats) sent(c *call) { s.cell(c.request, s.world.now).sends++ }
+func (s *stats) sent(c *call) { s.cell(c.request, s.world.Now).sends++ }
 
 // worked is told the end of a run.
 func (s *stats) worked(u *upstream, r *run) {
-	u.lastEnd = s.world.now
-	work := s.world.now.Sub(r.started)
+	u.lastEnd = s.world.Now
+	work := s.world.Now.Sub(r.started)
 	r.call.request.work = work
-	s.cell(r.call.request, s.world.now).busy += work
+	s.cell(r.call.request, s.world.Now).busy += work
 }
 
 // finished is told the end of a request.
 func (s *stats) finished(r *request, o outcome) {
-	now := s.world.now
+	now := s.world.Now
 	c := s.cell(r, r.born)
 	c.outcomes[o]++
 	if o != served {
