--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -5,10 +5,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"pistachioford.example/core/document"
+	"pistachioford.example/core/model"
 	"pistachioford.example/pistachioford/operate"
 	"pistachioford.example/pistachioford/settings"
 )
@@ -106,3 +108,22 @@
 		}
 	}
 }
+
+// Guards against descriptions of loads that no longer pass, or under which the
+// decisions fail most callers even after the cold start.
+func TestLoads(t *testing.T) {
+	for _, user := range []string{"kolebe", "ceiba"} {
+		t.Run(user, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(user, "load.toml")
+			text, err := os.ReadFile(file)
+			is.NoErr(err)
+			plan, err := model.Parse(file, string(text))
+			is.NoErr(err)
+			is.Equal(len(plan.Services), 4)
+			plan.Length = 12 * time.Second
+			result := model.Run(plan, model.PolicyEngine, 1)
+			is.True(result.Seconds[11].InTimeShare() >= 0.5)
+		})
+	}
+}
