soak: each run takes a block of loopback addresses of its own

Cause: the processes had fixed addresses.

Change: a run claims a block by listening on a port of it.

Ruled out: faults of the gateway; the two runs of each doubled request are 8 s apart, one by each load.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,23 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
 
+// Guards against two soaks on one machine that take each other's addresses:
+// their processes then fail to start, or answer for each other.
+func TestSoaksDoNotShareAddresses(t *testing.T) {
+	var claimed []string
+	for range 2 {
+		w := &world{}
+		if err := w.claimBlock(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = w.hold.Close() }()
+		claimed = append(claimed, w.block)
+	}
+	if claimed[0] == claimed[1] {
+		t.Fatalf("both use %s", claimed[0])
+	}
+}
+
 // recordedSeeds are those that ever failed.
 func recordedSeeds(t *testing.T) []uint64 {
 	text, err := os.ReadFile("seeds.txt")
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -38,9 +39,14 @@
 // world is a store, targets and processes.
 type world struct {
 	dir, binary string
-	store       *standin.Store
-	storeProxy  *proxy
-	version     int
+	// block is the start of the processes' addresses, hold what keeps other
+	// soaks on the machine from it.
+	block string
+	hold  net.Listener
+
+	store      *standin.Store
+	storeProxy *proxy
+	version    int
 
 	mu      sync.Mutex
 	servers []*server
@@ -67,6 +73,9 @@
 		return nil, err
 	}
 	w := &world{dir: dir, binary: binary, store: store, runs: map[string]int{}, calmSince: time.Now()}
+	if err := w.claimBlock(); err != nil {
+		return nil, err
+	}
 	if w.storeProxy, err = newProxy(store.Address()); err != nil {
 		return nil, err
 	}
@@ -84,6 +93,20 @@
 	return w, nil
 }
 
+// claimBlock takes a block of loopback addresses. The processes have fixed
+// ports, so two soaks at a time need different addresses.
+func (w *world) claimBlock() error {
+	const firstBlock, blocks, claimPort = 7, 200, 8639
+	var err error
+	for i := range blocks {
+		w.block = fmt.Sprintf("127.0.%d", firstBlock+i)
+		if w.hold, err = net.Listen("tcp4", fmt.Sprintf("%s.250:%d", w.block, claimPort)); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("no block of addresses is free: %w", err)
+}
+
 func (w *world) changeDocument() {
 	w.version++
 	w.store.Put("op", "config", fmt.Appendf(nil, document, w.version, w.version, w.version))
@@ -138,7 +161,7 @@
 
 func (w *world) addDaemon(i int) error {
 	zone := zones[i%len(zones)]
-	d := &daemon{name: fmt.Sprintf("d-%d", i), zone: zone, address: fmt.Sprintf("127.0.7.%d", i+1)}
+	d := &daemon{name: fmt.Sprintf("d-%d", i), zone: zone, address: fmt.Sprintf("%s.%d", w.block, i+1)}
 	d.node = filepath.Join(w.dir, d.name+".conf")
 	text := fmt.Sprintf(`node_name=%s
 ip_addr=%s
@@ -202,6 +225,7 @@
 	}
 	_ = w.storeProxy.listener.Close()
 	_ = w.store.Close()
+	_ = w.hold.Close()
 }
 
 // begin and end bound a fault.
