upstream: TestUploadIsStreamed no longer waits on a closed connection

Cause: the fake upstream closed its connection after a response without announcing it. The second pass could take that connection from the pool before the close arrived; the exchange then failed, and the test waited for bytes forever. The fake now serves requests until its peer closes, and the test looks at the result of the exchange while it waits. Every check of the test stays.

--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -276,13 +277,21 @@
 func TestUploadIsStreamed(t *testing.T) {
 	is := is.New(t)
 	arrived := make(chan string, 1)
+	// The connection stays open after a response: one that is closed without an
+	// announcement could still be taken from the pool for the next request.
 	f := startFakeUpstream(t, func(f *fakeUpstream, conn net.Conn, r *bufio.Reader) {
-		f.readRequest(r)
-		first := make([]byte, 5)
-		_, _ = io.ReadFull(r, first)
-		arrived <- string(first)
-		rest := make([]byte, 5)
-		if _, err := io.ReadFull(r, rest); err == nil {
+		for {
+			if _, ok := f.readRequest(r); !ok {
+				return
+			}
+			first, rest := make([]byte, 5), make([]byte, 5)
+			if _, err := io.ReadFull(r, first); err != nil {
+				return
+			}
+			arrived <- string(first)
+			if _, err := io.ReadFull(r, rest); err != nil {
+				return
+			}
 			_, _ = io.WriteString(conn, completeResponse)
 		}
 	})
@@ -290,15 +299,24 @@
 	for _, complete := range []bool{true, false} {
 		reader, writer := io.Pipe()
 		var x Exchange
-		ended := make(chan ExchangeResult)
+		ended := make(chan ExchangeResult, 1)
 		go func() {
 			body := Body{Buffered: []byte("ab"), Rest: reader, Length: 10}
-			ended <- x.Do(pool, header("POST", "/", 10), body, time.Now().Add(5*time.Second), nil)
+			result := x.Do(pool, header("POST", "/", 10), body, time.Now().Add(5*time.Second), nil)
+			_ = reader.CloseWithError(errExchangeEnded)
+			ended <- result
 		}()
-		_, _ = writer.Write([]byte("cde"))
-		is.Equal(<-arrived, "abcde") // before the rest was sent
+		_, err := writer.Write([]byte("cde"))
+		is.NoErr(err) // the exchange reads the body
+		select {
+		case first := <-arrived:
+			is.Equal(first, "abcde") // before the rest was sent
+		case result := <-ended:
+			t.Fatalf("the exchange ended before the upload: %v, %v", result.Result, result.Err)
+		}
 		if complete {
-			_, _ = writer.Write([]byte("fghij"))
+			_, err = writer.Write([]byte("fghij"))
+			is.NoErr(err)
 			is.Equal((<-ended).Result, traffic.Completed)
 			continue
 		}
@@ -306,3 +324,6 @@
 		is.Equal((<-ended).Result, traffic.Canceled)
 	}
 }
+
+// errExchangeEnded is what a caller's write returns after the exchange ended.
+var errExchangeEnded = errors.New("the exchange has ended")
