steer: tell cached from uncached runs where other instances fill the cache

The mean time of 'uncached' runs also took in those at an object's home, most of which other instances had cached there: 445 ms instead of 1,200. Leaving a briefly busy home looked almost free. Change: a run of unknown cache state counts for the mean that it is nearer to; the hit rate at homes is measured instead of assumed. With the true difference the contention penalty was three times too high, so its factor is 1, and admission compares response times, not penalties, with the limit. The slowdown of a target uses the same distinction. Ruled out: initial estimates (only 2% of the late ones came before either mean had samples).

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -230,6 +230,8 @@
 		times = &serviceTimes{
 			cached:   time.Duration(initialCachedFactor * float64(objective)),
 			uncached: time.Duration(initialUncachedFactor * float64(objective)),
+
+			homeHitRate: initialHomeHitRate,
 		}
 		e.serviceTimes[key] = times
 	}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -14,10 +14,6 @@
 // object's home may get no requests, or is so busy or slow that a run elsewhere
 // without the object cached costs less.
 const (
-	// homeCachedProbability is the assumed probability that an object is cached
-	// at its home target if this instance did not send a request for it there
-	// recently.
-	homeCachedProbability = 0.7
 	// maxCandidates is the number of candidates of an object: the targets that
 	// rank first in its rendezvous order.
 	maxCandidates = 2
@@ -35,11 +31,11 @@
 	// away from its object's home has a contention penalty, and
 	// contentionMaxExcess the excess over it at which the penalty stops
 	// growing. contentionPenaltyFactor is the penalty per unit of excess, in
-	// multiples of the extra service time of an uncached object: at a load of 1
-	// the penalty is the time that the request takes from others.
+	// multiples of the extra service time of an uncached object, which is the
+	// time that the request takes from others.
 	contentionMinLoad       = 0.25
 	contentionMaxExcess     = 1.5
-	contentionPenaltyFactor = 4.0
+	contentionPenaltyFactor = 1.0
 	// minRegionWeight is the least factor for the weight of targets in other
 	// regions, which keeps them among the candidates.
 	minRegionWeight = 1e-6
@@ -58,12 +54,11 @@
 	// rank is the target's candidate rank, maxCandidates if it is not a
 	// candidate of the object.
 	rank int
-	// cost is the expected response time with transferCost and all other
-	// penalties.
-	cost, transferCost time.Duration
-	// queueWait is the part of cost that the request spends in the target's
-	// queue.
-	queueWait time.Duration
+	// cost is responseTime with all penalties of the placement.
+	cost time.Duration
+	// responseTime is the expected response time, queueWait the part of it that
+	// the request spends in the target's queue.
+	responseTime, queueWait time.Duration
 }
 
 // choose returns the choice of the eligible target with the lowest cost; its
@@ -198,7 +193,7 @@
 	case e.recentObjects.has(now, r.Object, t):
 		cachedProbability = 1
 	case t == home && r.Object != 0:
-		cachedProbability = homeCachedProbability
+		cachedProbability = times.homeCachedProbability()
 	}
 	slowdown := t.currentSlowdown(now)
 	serviceTime := time.Duration(slowdown * float64(times.expected(cachedProbability)))
@@ -208,10 +203,10 @@
 	c := choice{target: t}
 	// The slots of a busy target become free one after the other.
 	if ahead := t.load(now) - float64(t.Slots) + 1; ahead > 0 {
-		c.queueWait = time.Duration(ahead / float64(t.Slots) * slowdown * float64(times.expected(homeCachedProbability)))
+		c.queueWait = time.Duration(ahead / float64(t.Slots) * slowdown * float64(times.expected(times.homeCachedProbability())))
 	}
-	c.transferCost = params.transferCosts[t.locality]
-	c.cost = e.rtt(t) + c.transferCost + serviceTime + c.queueWait
+	c.responseTime = e.rtt(t) + serviceTime + c.queueWait
+	c.cost = c.responseTime + params.transferCosts[t.locality]
 	c.cost += time.Duration(t.health.currentErrorRate(now) * float64(errorCost))
 	return c
 }
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -106,18 +106,18 @@
 func (r Reason) String() string { return reasonNames[r] }
 
 // Refusal states why a request is not sent and when the caller may try again.
-// Best, EstimatedCost, Load and LoadAge are set only if a target was chosen
+// Best, ResponseTime, Load and LoadAge are set only if a target was chosen
 // first.
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
 	// Best is the target with the lowest estimated cost.
 	Best TargetID
-	// EstimatedCost is the expected response time with all penalties of the
-	// placement but the transfer cost. Load and LoadAge are as in Send.
-	EstimatedCost time.Duration
-	Load          float64
-	LoadAge       time.Duration
+	// ResponseTime is the expected response time at Best. Load and LoadAge are
+	// as in Send.
+	ResponseTime time.Duration
+	Load         float64
+	LoadAge      time.Duration
 }
 
 const (
@@ -147,10 +147,10 @@
 	if t == nil {
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
 	}
-	if expected := c.cost - c.transferCost; !e.admits(now, r, c.queueWait, expected) {
+	if !e.admits(now, r, c.queueWait, c.responseTime) {
 		return Send{}, &Refusal{
 			Reason: ReasonTooLate, RetryAfter: max(busyRetryAfter, c.queueWait/2),
-			Best: t.ID, EstimatedCost: expected, Load: t.load(now), LoadAge: t.loadAge(now),
+			Best: t.ID, ResponseTime: c.responseTime, Load: t.load(now), LoadAge: t.loadAge(now),
 		}
 	}
 	times := e.serviceTimesOf(r)
@@ -311,8 +311,13 @@
 	e.suspects.clear(r.Fingerprint)
 	if !s.queued {
 		serviceTime := max(elapsed-e.rtt(t), 0)
-		e.serviceTimesOf(r).recordDuration(serviceTime, s.Cached)
-		t.recordDuration(now, elapsed, s.expectedDuration)
+		times := e.serviceTimesOf(r)
+		expected := s.expectedDuration
+		if !s.Cached && r.Object != 0 {
+			expected = times.typical(serviceTime) + s.RTT
+		}
+		times.recordDuration(serviceTime, r, s)
+		t.recordDuration(now, elapsed, expected)
 	}
 	if r.Route.Affinity {
 		e.recentObjects.record(now, r.Object, t)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	return []telemetry.Field{
-		telemetry.F("best", refusal.Best), telemetry.F("expected_ms", refusal.EstimatedCost.Milliseconds()),
+		telemetry.F("best", refusal.Best), telemetry.F("expected_ms", refusal.ResponseTime.Milliseconds()),
 		telemetry.F("load", oneDecimal(refusal.Load)), telemetry.F("load_age_ms", refusal.LoadAge.Milliseconds()),
 		telemetry.F("retry_after_ms", refusal.RetryAfter.Milliseconds()),
 	}
