gateway: a starting fleet reads the store once a zone

Nearly all came in the first 5 s: no instance knew the others, so each took itself for the relay, read both tables and followed them; the first relay then refused its followers (503), which made each of them follow the store for 5 s more, one call every 0.35 s while the targets registered. Change: an instance greets the zone's instances in the rows it reads, and they reply at once; it reads the feeds after that (the document at once after a restart). While no instance of a zone is ready, the relay is chosen among the starting ones, and it holds the first call until it has read the table. A refusal costs 0.7 s, not 5 s; who calls the store in place of its relay pauses 1 s between calls. A restarted instance whose row holds does not write it again (a fleet's writes queue for a second at 200 a second). Only relays read the rows again every 30 s. A whole table is given only by an instance that knows it to be current; a stale one only if the caller's own call to the store failed.

--- a/cmd/pistachioford/gateway.go
+++ b/cmd/pistachioford/gateway.go
@@ -35,6 +35,9 @@
 	logWriter := telemetry.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	telemetry.LogTo(logWriter, telemetry.LevelInfo)
+	for _, warning := range node.Warnings {
+		telemetry.Event("setting_ignored", telemetry.F("warning", warning))
+	}
 	g := gateway.New(node)
 	defer g.Cleanup()
 	if err := g.Provision(); err != nil {
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -239,6 +239,25 @@
 	return t.self, deliveries
 }
 
+// Greeting returns a heartbeat of this instance and the addresses of the known
+// instances of its zone that are not live, for the start of this instance.
+func (t *Table) Greeting(now time.Time) (Heartbeat, []string) {
+	t.self.Sequence++
+	var to []string
+	for _, m := range t.sortedMembers() {
+		if m.Zone == t.self.Zone && !t.isLive(now, m) && m.PeerAddr != "" {
+			to = append(to, m.PeerAddr)
+		}
+	}
+	return t.self, to
+}
+
+// NextReply returns the heartbeat that replies to an instance that became live.
+func (t *Table) NextReply() Heartbeat {
+	t.self.Sequence++
+	return t.self
+}
+
 // NextPulse returns the next pulse of this instance and the addresses that it
 // goes to: none unless this instance is advertised and its zone is not
 // crowded.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -87,6 +87,13 @@
 // startInstanceOfSize starts a gateway on a machine with a processor share and
 // link bandwidth, and waits until it is ready.
 func (s *site) startInstanceOfSize(name string, cpu, link int) *Gateway {
+	s.t.Helper()
+	return s.startInstanceAt(name, cpu, link, s.store.Address())
+}
+
+// startInstanceAt starts a gateway that reaches the store at an address of its
+// own.
+func (s *site) startInstanceAt(name string, cpu, link int, store string) *Gateway {
 	s.t.Helper()
 	ports := freePorts(s.t, 5)
 	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
@@ -94,7 +101,7 @@
 		Name: name, Address: "127.0.0.1", Zone: "za", Region: "ra",
 		Zones:    map[string]string{"za": "ra", "zb": "rb"},
 		Requests: address(0), Readiness: address(1), Lookups: address(2), PeerPort: ports[3], Metrics: address(4),
-		Store: s.store.Address(), MilliCPU: cpu, LinkMbps: link,
+		Store: store, MilliCPU: cpu, LinkMbps: link, FirstStart: true,
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
 			LookupTTL: 5 * time.Second, Grace: 6 * time.Second},
 	})
@@ -107,6 +114,64 @@
 	return g
 }
 
+// storeLink forwards connections to the store until it is cut.
+type storeLink struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+	isCut    bool
+}
+
+func (s *site) startStoreLink() *storeLink {
+	s.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l := &storeLink{listener: listener}
+	s.t.Cleanup(l.cut)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(conn, s.store.Address())
+		}
+	}()
+	return l
+}
+
+func (l *storeLink) forward(conn net.Conn, store string) {
+	upstream, err := net.Dial("tcp4", store)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	l.mu.Lock()
+	l.conns = append(l.conns, conn, upstream)
+	isCut := l.isCut
+	l.mu.Unlock()
+	if isCut {
+		l.cut()
+	}
+	go func() { _, _ = io.Copy(upstream, conn) }()
+	_, _ = io.Copy(conn, upstream)
+	_ = conn.Close()
+	_ = upstream.Close()
+}
+
+// cut closes all connections and refuses new ones.
+func (l *storeLink) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = true
+	_ = l.listener.Close()
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+}
+
 // waitFor polls until a condition holds. The limit is generous for a busy
 // machine.
 func (s *site) waitFor(what string, condition func() bool) {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -21,6 +21,11 @@
 	// heartbeats to them, so that of two instances at least one finds the
 	// other. Reading again only helps after lost heartbeats.
 	memberSyncInterval = 30 * time.Second
+	// startMembersWait is how long a starting instance waits for the instances of
+	// its zone to reply before it reads the feeds: one of them may spare it the
+	// calls to the store. greetingWait is the part of it for their replies.
+	startMembersWait = time.Second
+	greetingWait     = 15 * time.Millisecond
 	// memberRetryDelay is the pause after a failed call.
 	memberRetryDelay = time.Second
 	// maxHeartbeatBytes limits the size of a received heartbeat.
@@ -38,11 +43,14 @@
 	table *presence.Table
 	// membersRead is set once the rows of all instances were read.
 	membersRead bool
-	conn        *net.UDPConn
+	// greeted is closed once heartbeats were sent to the zone's instances in
+	// these rows, or the rows could not be read.
+	greeted chan struct{}
+	conn    *net.UDPConn
 }
 
 func newPeers(self presence.Heartbeat) *peers {
-	return &peers{table: presence.New(self, uint64(self.Boot))}
+	return &peers{table: presence.New(self, uint64(self.Boot)), greeted: make(chan struct{})}
 }
 
 func (p *peers) listen() error {
@@ -75,6 +83,26 @@
 	}
 }
 
+// greet sends a heartbeat to the known instances of the zone that are not live
+// here. Those that are running reply.
+func (p *peers) greet(now time.Time) {
+	p.mu.Lock()
+	own, addresses := p.table.Greeting(now)
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.write(address, heartbeatMessage{own: own})
+	}
+}
+
+// reply sends a heartbeat to an instance of the zone that became live, so that
+// it need not wait for the next regular one.
+func (p *peers) reply(to presence.Heartbeat) {
+	p.mu.Lock()
+	own := p.table.NextReply()
+	p.mu.Unlock()
+	p.write(to.PeerAddr, heartbeatMessage{own: own})
+}
+
 // pulse sends the next pulse to the zone if lookups return this instance.
 func (p *peers) pulse(now time.Time) {
 	p.mu.Lock()
@@ -115,19 +143,30 @@
 // handleHeartbeat applies a heartbeat of another instance and the copies in it.
 func (g *Gateway) handleHeartbeat(message heartbeatMessage) {
 	now := time.Now()
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
 	g.operatorProgress.recordPeerVersion(message.own.Document)
 	g.registryProgress.recordPeerVersion(message.own.Registry)
 	g.mu.Lock()
 	g.engine.RecordBreaks(now, message.breaks)
 	g.engine.RecordObservations(now, message.own.Name, message.observations)
 	g.mu.Unlock()
+	if g.recordHeartbeats(now, message) && message.own.Zone == g.node.Zone {
+		g.peers.reply(message.own)
+	}
+}
+
+// recordHeartbeats records the heartbeats of a message. It returns true if the
+// sender became live.
+func (g *Gateway) recordHeartbeats(now time.Time, message heartbeatMessage) (senderBecameLive bool) {
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
 	for _, heartbeat := range append(message.others, message.own) {
-		if g.peers.table.RecordHeartbeat(now, heartbeat) {
-			telemetry.Event("instance_live", telemetry.F("instance", heartbeat.Name), telemetry.F("zone", heartbeat.Zone))
+		if !g.peers.table.RecordHeartbeat(now, heartbeat) {
+			continue
 		}
+		telemetry.Event("instance_live", telemetry.F("instance", heartbeat.Name), telemetry.F("zone", heartbeat.Zone))
+		senderBecameLive = senderBecameLive || heartbeat.Name == message.own.Name
 	}
+	return senderBecameLive
 }
 
 // fleet is what an instance knows of the others.
@@ -182,27 +221,70 @@
 
 // maintainMembership writes this instance's row and reads those of the others.
 func (g *Gateway) maintainMembership() {
-	written := false
+	registered := false
 	for g.ctx.Err() == nil {
 		period := memberSyncInterval
-		if err := g.syncMembers(&written); err != nil {
+		if err := g.syncMembers(&registered); err != nil {
 			telemetry.Failure("sync_members", err)
 			period = memberRetryDelay
 		}
+		g.peers.closeGreeted()
 		pause(g.ctx, period)
 	}
 }
 
-// syncMembers writes this instance's row, unless it is written, and reads all
-// rows.
-func (g *Gateway) syncMembers(written *bool) error {
-	if !*written && !g.leaving.Load() {
-		if err := g.storeClient.WriteMember(g.ctx, g.memberRow()); err != nil {
+// syncMembers reads the rows of all instances and greets those of the zone. It
+// also writes this instance's row, unless it is registered already.
+func (g *Gateway) syncMembers(registered *bool) error {
+	if *registered {
+		// Later reads only help after lost heartbeats, and heartbeats pass on
+		// what one instance of the zone has read.
+		if relayAddress(g.self(), g.peers.live(time.Now())) != "" {
+			return nil
+		}
+		_, err := g.readMembers()
+		return err
+	}
+	if !g.node.FirstStart {
+		// The row of an earlier start may still hold. Writes of a whole fleet
+		// that starts again would wait for each other.
+		current, err := g.readMembers()
+		if err != nil || current || g.leaving.Load() {
+			*registered = current
 			return err
 		}
-		*written = true
 	}
-	return g.readMembers()
+	// The row is written before the others are read, so that of two instances
+	// at least one finds the other.
+	if err := g.storeClient.WriteMember(g.ctx, g.memberRow()); err != nil {
+		return err
+	}
+	*registered = true
+	_, err := g.readMembers()
+	return err
+}
+
+// awaitMembers waits at the start of an instance until the instances of its zone
+// had time to reply to its greeting, or for startMembersWait.
+func (g *Gateway) awaitMembers() {
+	timer := time.NewTimer(startMembersWait)
+	defer timer.Stop()
+	select {
+	case <-g.peers.greeted:
+		pause(g.ctx, greetingWait)
+	case <-timer.C:
+	case <-g.ctx.Done():
+	}
+}
+
+// closeGreeted ends the wait of awaitMembers. Only maintainMembership calls it,
+// also after a failure: without the store no instance can be greeted.
+func (p *peers) closeGreeted() {
+	select {
+	case <-p.greeted:
+	default:
+		close(p.greeted)
+	}
 }
 
 // sendHeartbeats sends heartbeats, and pulses between them, until the instance
@@ -226,20 +308,35 @@
 	}
 }
 
-func (g *Gateway) readMembers() error {
+// readMembers reads the rows of all instances and greets those of the zone.
+// current reports whether this instance's own row is among them and holds.
+func (g *Gateway) readMembers() (current bool, err error) {
 	members, err := g.storeClient.ReadMembers(g.ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	g.peers.membersRead = true
+	own := g.memberRow()
+	for _, m := range members {
+		if m.Name == own.Name {
+			// Only heartbeats need the newest boot.
+			m.Boot = own.Boot
+			current = m == own
+		}
+	}
+	g.peers.addMembers(members)
+	g.peers.greet(time.Now())
+	return current, nil
+}
+
+func (p *peers) addMembers(members []platform.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.membersRead = true
 	for _, m := range members {
-		g.peers.table.Add(presence.Heartbeat{
+		p.table.Add(presence.Heartbeat{
 			Name: m.Name, Zone: m.Zone, RequestAddr: m.Requests, PeerAddr: m.Peers, Boot: m.Boot, MilliCPU: m.MilliCPU, LinkMbps: m.LinkMbps,
 		})
 	}
-	return nil
 }
 
 func (g *Gateway) removeMember() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -26,8 +27,14 @@
 const (
 	relayPath = "/feed/"
 	// relayRetryDelay is how long an instance calls the store itself after its
-	// relay failed.
-	relayRetryDelay = 5 * time.Second
+	// relay failed, relayRefusalDelay that after the relay refused a call: it
+	// has not read the feed yet, or sees another instance as the relay, and
+	// heartbeats settle both soon.
+	relayRetryDelay   = 5 * time.Second
+	relayRefusalDelay = presence.Interval
+	// relayStartWait is how long a relay that starts at the same time may take
+	// to read a feed.
+	relayStartWait = 600 * time.Millisecond
 	// relayTimeoutMargin is added to the time for which a relay may hold a
 	// call. It also limits the opening of a connection to the relay.
 	relayTimeoutMargin = 700 * time.Millisecond
@@ -133,8 +140,8 @@
 	client    fasthttp.Client
 
 	mu sync.Mutex
-	// failedAt is when a call to the relay last failed.
-	failedAt time.Time
+	// usableAt is when the relay may be called again after a call failed.
+	usableAt time.Time
 }
 
 func newRelays() *relays {
@@ -150,18 +157,25 @@
 	}
 }
 
-func (r *relays) recordFailure(now time.Time) {
+// errRelayRefused reports that the relay cannot serve a feed at present.
+var errRelayRefused = errors.New("the relay refused the call")
+
+// recordFailure records that a call to the relay failed.
+func (r *relays) recordFailure(now time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failedAt = now
+	delay := relayRetryDelay
+	if errors.Is(err, errRelayRefused) {
+		delay = relayRefusalDelay
+	}
+	r.usableAt = now.Add(delay)
 }
 
-// isUsable reports whether the last failure of a relay is at least
-// relayRetryDelay ago.
+// isUsable reports whether the relay may be called.
 func (r *relays) isUsable(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Sub(r.failedAt) >= relayRetryDelay
+	return !now.Before(r.usableAt)
 }
 
 // selectSource returns where the next call of a feed goes; relayed reports
@@ -170,19 +184,30 @@
 func (g *Gateway) selectSource(failures int, hasState bool) (src source, relayed bool) {
 	now := time.Now()
 	live := g.peers.live(now)
-	address := ""
+	address, acceptsStale := "", false
 	switch {
-	case !hasState && failures%2 == 1:
+	case !hasState && failures > 0 && failures%2 == 0:
 		// The store may be unreachable while this instance starts, so every
-		// other call goes to another instance.
-		address = readyPeerInZone(g.node.Zone, live)
+		// other call after the first ones goes to another instance, which may
+		// have lost the store as well.
+		address, acceptsStale = readyPeerInZone(g.node.Zone, live), true
 	case failures == 0 && g.relays.isUsable(now):
 		address = relayAddress(g.self(), live)
 	}
 	if address == "" {
 		return g.storeClient, false
 	}
-	return &relaySource{relays: g.relays, address: address}, true
+	return &relaySource{relays: g.relays, address: address, acceptsStale: acceptsStale}, true
+}
+
+// batchDelay returns the pause after a call that returned changes. An instance
+// that calls the store in place of its relay pauses longer: if a relay fails,
+// all instances of its zone do.
+func (g *Gateway) batchDelay(relayed bool) time.Duration {
+	if !relayed && relayAddress(g.self(), g.peers.live(time.Now())) != "" {
+		return fallbackBatchDelay
+	}
+	return feedBatchDelay
 }
 
 // readyPeerInZone returns the address of a live instance of the zone that is
@@ -199,14 +224,26 @@
 // relayAddress returns the address of the zone's relay, or an empty string if
 // this instance is the relay. All instances that see the same live instances
 // choose the same one. It is an advertised one, since the link of a weak
-// instance would delay the feeds for the whole zone.
+// instance would delay the feeds for the whole zone. Only ready instances are
+// relays, unless the zone has none: then all of them are starting.
 func relayAddress(self presence.Heartbeat, live []presence.Heartbeat) string {
-	candidates := []presence.Heartbeat{self}
-	for _, heartbeat := range live {
-		if heartbeat.Zone == self.Zone && heartbeat.Ready {
-			candidates = append(candidates, heartbeat)
+	var ready, starting []presence.Heartbeat
+	for _, heartbeat := range append([]presence.Heartbeat{self}, live...) {
+		switch {
+		case heartbeat.Zone != self.Zone || heartbeat.Leaving:
+		case heartbeat.Ready:
+			ready = append(ready, heartbeat)
+		default:
+			starting = append(starting, heartbeat)
 		}
 	}
+	candidates := ready
+	if len(candidates) == 0 {
+		candidates = starting
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
 	relay := slices.MinFunc(presence.Advertised(candidates), func(a, b presence.Heartbeat) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
@@ -226,17 +263,20 @@
 type relaySource struct {
 	relays  *relays
 	address string
+	// acceptsStale is set if a table may be read from an instance that has
+	// itself lost the store.
+	acceptsStale bool
 }
 
 func (s *relaySource) Read(ctx context.Context, f platform.Feed) ([]platform.Row, platform.Position, error) {
-	return s.Watch(ctx, f, 0, 0)
+	return s.Watch(ctx, f, 0, relayStartWait)
 }
 
 func (s *relaySource) Watch(_ context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?after=%d&wait_ms=%d", s.address, relayPath, f, after, wait.Milliseconds()))
+	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?after=%d&wait_ms=%d&stale=%t", s.address, relayPath, f, after, wait.Milliseconds(), s.acceptsStale))
 	if err := s.relays.client.DoTimeout(req, resp, wait+relayTimeoutMargin); err != nil {
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: %w", s.address, err)
 	}
@@ -244,6 +284,8 @@
 	case fasthttp.StatusOK:
 	case fasthttp.StatusGone:
 		return nil, platform.Position{}, platform.ErrHistoryDropped
+	case fasthttp.StatusServiceUnavailable:
+		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: %w", s.address, errRelayRefused)
 	default:
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: status %d", s.address, status)
 	}
@@ -272,7 +314,9 @@
 
 // serveFollower responds to a call for one feed. An instance that does not
 // follow the store itself refuses calls for changes, so that followers do not
-// follow each other.
+// follow each other. The whole table comes from any instance that knows it to
+// be current, so that a starting one does not use what was removed meanwhile,
+// or from any at all if the caller cannot reach the store either.
 func (g *Gateway) serveFollower(ctx *fasthttp.RequestCtx, h *history) {
 	after, afterErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	waitMS, waitErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("wait_ms")), 10, 32)
@@ -280,24 +324,24 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	_, relayed := g.selectSource(0, true)
-	rows, at, changed, complete := h.changesSince(after)
-	// A starting instance gets the state even if that may be outdated: without
-	// any state it would serve nothing.
-	current := !relayed && g.storeState.isCurrent(time.Now()) || after == 0 && at.Next > 0
-	if !current || g.leaving.Load() {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
-	}
-	if complete && len(rows) == 0 && after > 0 {
-		timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxRelayWait))
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-g.ctx.Done():
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxRelayWait)
+	var rows []platform.Row
+	var at platform.Position
+	complete := true
+	if after == 0 {
+		rows, at = g.waitForTable(h, wait)
+		acceptsStale := string(ctx.QueryArgs().Peek("stale")) == "true"
+		if at.Next == 0 || g.leaving.Load() || !acceptsStale && !g.storeState.isCurrent(time.Now()) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
 		}
-		rows, at, _, complete = h.changesSince(after)
+	} else {
+		_, relayed := g.selectSource(0, true)
+		if relayed || g.leaving.Load() || !g.storeState.isCurrent(time.Now()) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		rows, at, complete = g.waitForChanges(h, after, wait)
 	}
 	if !complete {
 		ctx.SetStatusCode(fasthttp.StatusGone)
@@ -314,3 +358,38 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
+
+// waitForTable returns all rows of a feed. If the feed was not read yet, it
+// waits for that; at.Next is 0 if it was still not read then.
+func (g *Gateway) waitForTable(h *history, wait time.Duration) (rows []platform.Row, at platform.Position) {
+	rows, at, changed, _ := h.changesSince(0)
+	if at.Next == 0 {
+		g.waitFor(changed, wait)
+		rows, at, _, _ = h.changesSince(0)
+	}
+	return rows, at
+}
+
+// waitForChanges returns the rows that changed after a version. It waits for a
+// change if there is none yet. complete is false if removed rows may be
+// missing.
+func (g *Gateway) waitForChanges(h *history, after uint64, wait time.Duration) (rows []platform.Row, at platform.Position, complete bool) {
+	rows, at, changed, complete := h.changesSince(after)
+	if complete && len(rows) == 0 {
+		g.waitFor(changed, wait)
+		rows, at, _, complete = h.changesSince(after)
+	}
+	return rows, at, complete
+}
+
+// waitFor waits until changed is closed, but no longer than wait or the life of
+// the instance.
+func (g *Gateway) waitFor(changed <-chan struct{}, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-g.ctx.Done():
+	}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -23,6 +23,9 @@
 	// feedBatchDelay is the pause after a change, so that one call reads the
 	// changes that follow closely.
 	feedBatchDelay = 350 * time.Millisecond
+	// fallbackBatchDelay replaces feedBatchDelay for an instance that calls the
+	// store because it cannot reach its relay.
+	fallbackBatchDelay = time.Second
 	// minRetryDelay and maxRetryDelay limit the pause after a failed call,
 	// before jitter.
 	minRetryDelay = 150 * time.Millisecond
@@ -253,7 +256,7 @@
 			pause(g.ctx, minRetryDelay)
 		case err != nil && relayed:
 			telemetry.Event("relay_failed", telemetry.F("feed", f.table), telemetry.F("error", err))
-			g.relays.recordFailure(now)
+			g.relays.recordFailure(now, err)
 			failures++
 			pause(g.ctx, backoff(failures))
 		case err != nil:
@@ -264,7 +267,7 @@
 			failures = 0
 			g.storeState.recordSuccess(now)
 			if changed {
-				pause(g.ctx, feedBatchDelay)
+				pause(g.ctx, g.batchDelay(relayed))
 			}
 		}
 	}
@@ -347,6 +350,10 @@
 }
 
 func (g *Gateway) watchDocument() {
+	// After a restart callers wait, and the document is small.
+	if g.node.FirstStart {
+		g.awaitMembers()
+	}
 	g.followFeed(&feed{
 		table: platform.FeedOperator, apply: g.applyOperator,
 		progress: g.operatorProgress, history: g.relays.histories[platform.FeedOperator],
@@ -396,6 +403,7 @@
 }
 
 func (g *Gateway) watchRegistry() {
+	g.awaitMembers()
 	known := map[steer.TargetID]bool{}
 	g.followFeed(&feed{
 		table: platform.FeedRegistry, progress: g.registryProgress, history: g.relays.histories[platform.FeedRegistry],
