gateway: bounded bodies, panics that cost one request, drains without resets

Three causes, in one commit since they share files; each has its own tests.

Endless responses. Cause: response bodies were read whole, up to 16 MiB each, and a declared length was allocated before any byte came; 24 parallel endless responses grew the heap by 400 to 730 MiB. Change: bodies are held up to 128 KiB within a budget of the process (1/32 of the machine's memory, at least 4 MiB; a quarter of it for one target); the rest passes through in pieces. A response that breaks off after a part was delivered ends with a reset connection and is not retried. Request bodies use the same budget.

Cause: one panic in a connection, a heartbeat, a row or an auxiliary handler ended the process. Change: it costs what caused it, is counted (panics_total) and logged with its stack; the engine is rebuilt from the rows of the feeds, the sender of a heartbeat is forgotten until its next one. Other parts still end the process. A row of an instance that cannot be decoded no longer hides the others. Documents without entries, or with one without a kind, are refused and counted. Tests: TestPanicCostsOnlyWhatCausedIt, TestEmptyDocumentLeavesTheLastOneActive, TestMembers.

Planned stop. Cause: once a drain closed idle connections, accepted ones were closed unanswered. Change: the listener ends first, its backlog is accepted and served, and a new connection keeps a second for its first request. About a microsecond between the last accept and the end of listening remains.

Uploads: a chunked one beyond the limit gets 413 instead of a closed connection; its time limit is that of its caller. Tests: TestTooLargeChunkedUploadIsRefused, TestUploadTimeIsThatOfItsCaller. Fuzz targets for all decoders of the gateway and of platform; the two that existed keep their checks.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -179,6 +179,9 @@
 	return !wasLive && t.isLive(now, known)
 }
 
+// Forget removes an instance until its next heartbeat.
+func (t *Table) Forget(name string) { delete(t.members, name) }
+
 // Delivery is the message to one instance that carries a heartbeat.
 type Delivery struct {
 	To string
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -19,6 +19,9 @@
 	// Streaming is set if a part of the body is not buffered, so that the
 	// request cannot be sent again.
 	Streaming bool
+	// ResponseStarted is set once a part of a response went to the caller, so
+	// that no other target can respond.
+	ResponseStarted bool
 
 	tried []TargetID
 	// sendCount counts the decisions to send the request.
@@ -356,7 +359,7 @@
 // again. If so, it takes the retry from the retry budget.
 func (e *Engine) takeRetry(now time.Time, r *Request) bool {
 	r.attemptCount++
-	if r.Streaming || r.attemptCount >= r.Route.MaxAttempts || !now.Before(r.Deadline) {
+	if r.Streaming || r.ResponseStarted || r.attemptCount >= r.Route.MaxAttempts || !now.Before(r.Deadline) {
 		return false
 	}
 	if e.suspects.blocked(now, r.Fingerprint) {
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/platform"
 )
 
 const (
@@ -44,6 +45,17 @@
 	// serving is set while a request is read and served. pending is set from
 	// the arrival of the first byte of the next request until serving is set.
 	serving, pending bool
+	// openedAt is when the connection was accepted; used is set with its first
+	// request.
+	openedAt time.Time
+	used     bool
+}
+
+func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
+	return &callerConn{
+		Conn: conn, br: bufio.NewReaderSize(conn, g.limits().HeaderBytes+headerMargin), gateway: g,
+		nextErr: make(chan error, 1), openedAt: time.Now(),
+	}
 }
 
 // callerConns is the set of callers' open connections. A drain uses it to close
@@ -51,19 +63,12 @@
 type callerConns struct {
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
-	// closing is set once closeIdle was called; new connections are refused.
-	closing bool
 }
 
-// add registers a connection. It returns false if new connections are refused.
-func (c *callerConns) add(conn *callerConn) bool {
+func (c *callerConns) add(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return false
-	}
 	c.open[conn] = struct{}{}
-	return true
 }
 
 func (c *callerConns) remove(conn *callerConn) {
@@ -85,22 +90,27 @@
 	return len(c.open), busy
 }
 
-// closeIdle makes idle connections close and refuses new ones.
-func (c *callerConns) closeIdle() {
+// closeIdle makes idle connections close. New ones keep firstRequestWait for
+// their first request.
+func (c *callerConns) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
 	for conn := range c.open {
-		conn.closeIfIdle()
+		conn.closeIfIdle(now)
 	}
 }
 
+// firstRequestWait is how long a drain leaves a new connection open for its
+// first request. A caller sends it after a round trip.
+const firstRequestWait = time.Second
+
 // closeIfIdle makes the wait for the next request time out. It holds the lock
 // so that it does not also fail the read of a request that has just begun.
-func (c *callerConn) closeIfIdle() {
+func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.serving && !c.pending {
+	isNew := !c.used && now.Sub(c.openedAt) < firstRequestWait
+	if !c.serving && !c.pending && !isNew {
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -114,7 +124,7 @@
 func (c *callerConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.pending = true, false
+	c.serving, c.pending, c.used = true, false, true
 }
 
 func (c *callerConn) endRequest() {
@@ -135,6 +145,16 @@
 	return true
 }
 
+// cancelExchange cancels the exchange in flight, if any.
+func (c *callerConn) cancelExchange() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil {
+		c.current.cancel()
+		c.current = nil
+	}
+}
+
 func (c *callerConn) detach() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,27 +201,19 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// serveCaller serves the requests of one connection, one at a time.
-func (g *Gateway) serveCaller(conn net.Conn) {
-	defer closeQuietly(conn)
-	bufferSize := g.limits().HeaderBytes + headerMargin
-	c := &callerConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), gateway: g, nextErr: make(chan error, 1)}
-	if !g.callers.add(c) {
-		return
-	}
-	defer g.callers.remove(c)
+// serve serves the requests of the connection, one at a time.
+func (c *callerConn) serve() {
+	defer closeQuietly(c.Conn)
+	defer c.gateway.callers.remove(c)
 	awaiting := false
 	for {
-		limits := g.limits()
+		limits := c.gateway.limits()
 		if !awaiting {
 			c.awaitRequest()
 		}
 		if err := c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
 			return
 		}
-		if g.callersClosing() {
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
 		if err := <-c.nextErr; err != nil {
 			return
 		}
@@ -258,11 +270,15 @@
 		}
 	}
 	// The header timeout does not apply to the body: a large one may take as
-	// long as the caller is willing to wait, up to bodyReadTimeout.
-	if err := c.SetReadDeadline(arrived.Add(bodyReadTimeout)); err != nil {
+	// long as the caller is willing to wait.
+	bodyTimeout := bodyReadTimeout
+	if left, found := platform.ParseTimeLeft(header.Peek(platform.HeaderTimeLeft)); found {
+		bodyTimeout = left
+	}
+	if err := c.SetReadDeadline(arrived.Add(bodyTimeout)); err != nil {
 		return false, false
 	}
-	b, err := readBody(c.br, header, limits.BodyBytes)
+	b, err := readBody(c.br, header, limits.BodyBytes, c.gateway.pools.budget)
 	if err != nil {
 		return c.refuseBody(header, err)
 	}
@@ -273,21 +289,19 @@
 		awaiting = true
 	}
 	r := c.gateway.newRequest(header, b, arrived)
-	reply := c.gateway.handleRequest(r, c)
+	reply := c.gateway.handleGuarded(r, c)
 	if reply.callerDisconnected {
 		return false, awaiting
 	}
 	closing = closing || c.gateway.leaving.Load() || b.rest != nil
-	c.writeBuf = reply.appendTo(c.writeBuf[:0], r, closing)
-	_ = c.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if _, err := c.Write(c.writeBuf); err != nil {
+	if err := c.writeReply(reply, r, closing); err != nil {
 		return false, awaiting
 	}
 	return !closing, awaiting
 }
 
 // bodyReadTimeout limits the time from the start of a request to the end of its
-// body.
+// body, if the caller does not state how long it waits.
 const bodyReadTimeout = 30 * time.Second
 
 // refuseHeader responds to a request whose header could not be read. It closes
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/steer"
@@ -110,9 +111,9 @@
 		return out
 	}
 	sentAt := time.Now()
-	resp, sentAll, err := x.roundTrip(conn, req, s)
-	bound := x.unbind()
+	resp, sentAll, err := x.roundTrip(conn, req, s, &heldBody{budget: p.budget, owner: s.Target})
 	if err != nil {
+		bound := x.unbind()
 		closeQuietly(conn)
 		out.Result, out.err = failureResult(err, bound, req.deadline), err
 		if out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sentAt) < s.RTT+resetMargin {
@@ -125,22 +126,47 @@
 	}
 	out.response = resp
 	out.ExchangeReport = classify(resp, s)
-	idleTimeout := keepAliveTimeout(resp)
-	if bound && sentAll && !resp.unframed && !resp.header.ConnectionClose() && conn.br.Buffered() == 0 && idleTimeout > 0 {
-		p.put(time.Now(), s.Target, conn, idleTimeout)
-	} else {
-		closeQuietly(conn)
+	giveBack := func(complete bool) {
+		bound := x.unbind()
+		idleTimeout := keepAliveTimeout(resp)
+		if bound && complete && sentAll && !resp.unframed && !resp.header.ConnectionClose() && conn.br.Buffered() == 0 && idleTimeout > 0 {
+			p.put(time.Now(), s.Target, conn, idleTimeout)
+		} else {
+			closeQuietly(conn)
+		}
+	}
+	if resp.rest != nil {
+		resp.finish = giveBack
+		return out
 	}
+	giveBack(true)
 	return out
 }
 
+// isStreamed reports whether the response goes to the caller while the rest of
+// it arrives. One that the engine may replace by another target's does not.
+func (out *outcome) isStreamed() bool {
+	return out.response != nil && out.response.rest != nil && (out.Result == steer.Responded || out.Result == steer.Failed)
+}
+
+// release drops a response that does not go to the caller.
+func (out *outcome) release() {
+	if out.response == nil {
+		return
+	}
+	if out.response.finish != nil {
+		out.response.finish(false)
+	}
+	out.response.release()
+}
+
 // failureResult returns the result of an exchange that ended with an error.
 // bound is false if the exchange was canceled.
 func failureResult(err error, bound bool, deadline time.Time) steer.Result {
 	switch {
 	case !bound:
 		return steer.Abandoned
-	case errors.Is(err, errIncompleteBody):
+	case isUploadError(err):
 		return steer.Abandoned
 	case !time.Now().Before(deadline):
 		// The errors of the header parser do not distinguish a timeout from a
@@ -153,7 +179,7 @@
 
 // roundTrip sends the request and reads the response. sentAll reports whether
 // the request was sent in full.
-func (x *exchange) roundTrip(conn *targetConn, req *outboundRequest, s *steer.Send) (resp *response, sentAll bool, err error) {
+func (x *exchange) roundTrip(conn *targetConn, req *outboundRequest, s *steer.Send, held *heldBody) (resp *response, sentAll bool, err error) {
 	if err := conn.SetDeadline(req.deadline); err != nil {
 		return nil, false, err
 	}
@@ -167,34 +193,50 @@
 		if _, err := conn.Write(append(head, req.body.buffered...)); err != nil {
 			return nil, false, err
 		}
-		resp, err = readResponse(conn.br, req.id, req.isHead, !conn.used)
+		resp, err = readResponse(conn.br, req.id, req.isHead, !conn.used, held)
 		return resp, true, err
 	}
-	return x.upload(conn, req, head)
+	return x.upload(conn, req, head, held)
 }
 
 // upload sends a large body while it waits for the response. A response before
 // the end of the body ends the upload and closes the connection.
-func (x *exchange) upload(conn *targetConn, req *outboundRequest, head []byte) (*response, bool, error) {
+func (x *exchange) upload(conn *targetConn, req *outboundRequest, head []byte, held *heldBody) (*response, bool, error) {
 	uploadDone := make(chan error, 1)
-	go func() { uploadDone <- writeUpload(conn, head, &req.body) }()
-	resp, err := readResponse(conn.br, req.id, req.isHead, !conn.used)
+	go func() {
+		var err error
+		if recovered := panics.Try(func() { err = writeUpload(conn, head, &req.body) }); recovered != nil {
+			err = recovered.AsError()
+		}
+		uploadDone <- err
+	}()
+	resp, err := readResponse(conn.br, req.id, req.isHead, !conn.used, held)
 	select {
 	case sendErr := <-uploadDone:
-		if err != nil && errors.Is(sendErr, errIncompleteBody) {
+		if err != nil && isUploadError(sendErr) {
 			err = sendErr
 		}
 		return resp, sendErr == nil, err
 	default:
 	}
-	closeQuietly(conn)
+	if err == nil && resp.rest != nil {
+		// The rest of the response is still to be read.
+		_ = conn.SetWriteDeadline(time.Unix(1, 0))
+	} else {
+		closeQuietly(conn)
+	}
 	sendErr := <-uploadDone
-	if err != nil && errors.Is(sendErr, errIncompleteBody) {
+	if err != nil && isUploadError(sendErr) {
 		err = sendErr
 	}
 	return resp, false, err
 }
 
+// isUploadError reports whether an upload ended because of its caller.
+func isUploadError(err error) bool {
+	return errors.Is(err, errIncompleteBody) || errors.Is(err, errUploadTooLarge)
+}
+
 func writeUpload(conn net.Conn, head []byte, b *body) error {
 	if _, err := conn.Write(head); err != nil {
 		return err
@@ -223,7 +265,8 @@
 const copyBufferSize = 32 << 10
 
 // copyRest forwards the part of a body that is not buffered. It returns
-// errIncompleteBody for any error of reading it.
+// errUploadTooLarge for a body beyond the limit, and errIncompleteBody for any
+// other error of reading it.
 func copyRest(w io.Writer, b *body) error {
 	if b.rest == nil {
 		return nil
@@ -239,8 +282,11 @@
 			}
 		}
 		if readErr != nil {
-			if b.length < 0 && readErr == io.EOF {
+			switch {
+			case b.length < 0 && readErr == io.EOF:
 				return nil
+			case errors.Is(readErr, errTooLarge):
+				return errUploadTooLarge
 			}
 			return errIncompleteBody
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,12 +38,16 @@
 	operatorProgress, registryProgress *progress
 
 	mu sync.Mutex
-	// engine is guarded by mu.
-	engine *steer.Engine
+	// engine is guarded by mu; withEngine also handles panics.
+	engine       *steer.Engine
+	engineConfig steer.Config
 
 	document atomic.Pointer[steer.Document]
 	leaving  atomic.Bool
 
+	// acceptEnded is closed when acceptCallers returns.
+	acceptEnded chan struct{}
+
 	requestListener, readinessListener, lookupListener, metricsListener, relayListener net.Listener
 
 	group conc.WaitGroup
@@ -55,19 +59,20 @@
 
 // New returns an instance that runs on the machine described by node.
 func New(node *platform.Node) *Gateway {
+	engineConfig := steer.Config{
+		Self:  steer.Self{Name: node.Name, Zone: node.Zone, Region: node.Region},
+		Zones: node.Zones,
+		Retry: steer.RetryRule{
+			Ratio: node.Bounds.RetryRatio, Extra: node.Bounds.RetryExtra, Window: node.Bounds.RetryWindow,
+		},
+	}
 	g := &Gateway{
 		node: node, boot: time.Now().UnixNano(), storeClient: platform.NewStore(node.Store),
 		operatorProgress: newProgress(), registryProgress: newProgress(),
-		storeState: &storeState{}, relays: newRelays(), metrics: newMetrics(), pools: newPools(),
+		storeState: &storeState{}, relays: newRelays(), metrics: newMetrics(), pools: newPools(newMemoryBudget(node.MemoryMB)),
 		callers: callerConns{open: map[*callerConn]struct{}{}},
-		failed:  make(chan error, 1),
-		engine: steer.NewEngine(steer.Config{
-			Self:  steer.Self{Name: node.Name, Zone: node.Zone, Region: node.Region},
-			Zones: node.Zones,
-			Retry: steer.RetryRule{
-				Ratio: node.Bounds.RetryRatio, Extra: node.Bounds.RetryExtra, Window: node.Bounds.RetryWindow,
-			},
-		}),
+		failed:  make(chan error, 1), acceptEnded: make(chan struct{}),
+		engine: steer.NewEngine(engineConfig), engineConfig: engineConfig,
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.peers = newPeers(presence.Heartbeat{
@@ -112,7 +117,7 @@
 	g.background("registry", g.watchRegistry)
 	g.background("membership", g.maintainMembership)
 	g.background("heartbeats_sent", g.sendHeartbeats)
-	g.background("heartbeats_received", func() { g.peers.receive(g.handleHeartbeat) })
+	g.background("heartbeats_received", func() { g.peers.receive(g.handleHeartbeatGuarded) })
 	g.background("standby", g.maintainStandby)
 	g.background("tick", g.tick)
 }
@@ -138,22 +143,46 @@
 }
 
 func (g *Gateway) acceptCallers() {
+	defer close(g.acceptEnded)
 	for {
 		conn, err := g.requestListener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed) || isTimeout(err):
 			return
-		}
-		if err != nil {
+		case err != nil:
 			// The process may be out of file descriptors; connections that
 			// close free some.
 			telemetry.Failure("accept", err)
 			pause(g.ctx, acceptRetryDelay)
-			continue
+		default:
+			g.startCaller(conn)
 		}
-		go g.serveCaller(conn)
 	}
 }
 
+func (g *Gateway) startCaller(conn net.Conn) {
+	c := newCallerConn(g, conn)
+	g.callers.add(c)
+	go g.guard("connection", c.serve)
+}
+
+// stopAccepting closes the listener for requests. Connections that callers have
+// opened before are served, also those that were not accepted yet: closing the
+// listener would reset them.
+func (g *Gateway) stopAccepting() {
+	listener, ok := g.requestListener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	// Ends acceptCallers.
+	_ = listener.SetDeadline(time.Unix(1, 0))
+	<-g.acceptEnded
+	for _, conn := range acceptPending(listener) {
+		g.startCaller(conn)
+	}
+	_ = listener.Close()
+}
+
 const (
 	acceptRetryDelay = 50 * time.Millisecond
 	// defaultMaxBodyBytes limits a request body until a document sets the
@@ -174,9 +203,7 @@
 			return
 		case now := <-ticker.C:
 			g.pools.sweep(now)
-			g.mu.Lock()
-			g.engine.Tick(now)
-			g.mu.Unlock()
+			g.guard("tick", func() { g.withEngine(func(e *steer.Engine) { e.Tick(now) }) })
 		}
 	}
 }
@@ -207,14 +234,6 @@
 	return limits
 }
 
-// callersClosing reports whether a drain has begun to close callers' idle
-// connections.
-func (g *Gateway) callersClosing() bool {
-	g.callers.mu.Lock()
-	defer g.callers.mu.Unlock()
-	return g.callers.closing
-}
-
 // ready reports whether the instance can serve requests.
 func (g *Gateway) ready() bool {
 	return !g.leaving.Load() && g.document.Load() != nil && g.storeState.hasRegistry()
@@ -243,17 +262,16 @@
 	g.sendHeartbeat()
 	g.background("leave", g.removeMember)
 	end := began.Add(g.node.Bounds.Grace - drainMargin)
+	pause(g.ctx, min(minDrainTime, time.Until(end)))
+	g.stopAccepting()
 	for time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-		if time.Since(began) < minDrainTime {
-			continue
-		}
-		g.callers.closeIdle()
+		g.callers.closeIdle(time.Now())
 		// An open connection may have just begun a request, so the drain waits
 		// for all of them and not only for busy ones.
 		if open, _ := g.callers.count(); open == 0 {
 			break
 		}
+		time.Sleep(drainPollInterval)
 	}
 	open, busy := g.callers.count()
 	telemetry.Event("left", telemetry.F("instance", g.node.Name), telemetry.F("open", open), telemetry.F("busy", busy))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -421,7 +421,7 @@
 	c := &callerConn{Conn: near, gateway: &Gateway{}}
 	set := &callerConns{open: map[*callerConn]struct{}{c: {}}}
 	c.setPending()
-	set.closeIdle()
+	set.closeIdle(time.Now())
 	_, busy := set.count()
 	is.Equal(busy, 1)
 	go func() { _, _ = far.Write([]byte("x")) }()
@@ -430,7 +430,7 @@
 	is.NoErr(err) // no deadline was set
 	c.beginRequest()
 	c.endRequest()
-	set.closeIdle()
+	set.closeIdle(time.Now())
 	_, err = near.Read(b[:])
 	is.True(isTimeout(err))
 }
@@ -780,3 +780,43 @@
 		is.True(strings.Contains(text, line))
 	}
 }
+
+// Guards against a chunked upload beyond the limit that ends as if its caller had
+// disconnected: the caller gets no response and sends it again.
+func TestTooLargeChunkedUploadIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.startTarget("i-1", respondOK)
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	c := s.connect(g)
+	received := make(chan callerResponse, 1)
+	go func() { received <- c.receive() }()
+	_, err := fmt.Fprintf(c.conn, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	is.NoErr(err)
+	for range 8_200_000/(64<<10) + 1 {
+		if _, err := io.WriteString(c.conn, chunk64K); err != nil {
+			break
+		}
+	}
+	resp := <-received
+	is.NoErr(resp.err)
+	is.Equal(resp.status, 413)
+}
+
+// Guards against an upload that is cut off at a fixed limit although its caller
+// waits longer, and against one that may take longer than its caller waits.
+func TestUploadTimeIsThatOfItsCaller(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	u := s.startTarget("i-1", respondOK)
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	c := s.connect(g)
+	_, err := fmt.Fprintf(c.conn, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\nX-Request-Deadline: 200\r\nContent-Length: 10\r\n\r\nabc")
+	is.NoErr(err)
+	began := time.Now()
+	is.True(c.receive().err != nil)
+	is.True(time.Since(began) < 5*time.Second)
+	is.Equal(u.count(), 0)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -212,6 +212,8 @@
 	// resetAfterIdle is how long an idle connection is kept: a request that
 	// comes later is reset. 0 means no limit.
 	resetAfterIdle atomic.Int64
+	// forgets is set if requests are not recorded.
+	forgets atomic.Bool
 
 	mu       sync.Mutex
 	requests []*receivedRequest
@@ -261,9 +263,11 @@
 		}
 		r := &receivedRequest{line: request.Method + " " + request.RequestURI, header: request.Header, body: body}
 		r.header.Set("Host", request.Host)
-		u.mu.Lock()
-		u.requests = append(u.requests, r)
-		u.mu.Unlock()
+		if !u.forgets.Load() {
+			u.mu.Lock()
+			u.requests = append(u.requests, r)
+			u.mu.Unlock()
+		}
 		if !u.script(conn, r) {
 			return
 		}
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -21,6 +21,9 @@
 	lookupTTL = time.Second
 	// maxLookupAddresses is the number of addresses that callers accept.
 	maxLookupAddresses = 64
+	// maxAuxiliaryBody limits the body of a request to one of the auxiliary
+	// ports, none of which needs one.
+	maxAuxiliaryBody = 4 << 10
 	// minZoneInstances is the number of instances in the caller's own zone from
 	// which on lookups return only those: traffic between zones is charged.
 	minZoneInstances = 1
@@ -33,7 +36,7 @@
 		return
 	}
 	server := &fasthttp.Server{
-		Handler: handler, NoDefaultServerHeader: true, Logger: discardLogger{},
+		Handler: g.guardHandler("auxiliary", handler), GetOnly: true, MaxRequestBodySize: maxAuxiliaryBody, NoDefaultServerHeader: true, Logger: discardLogger{},
 		ReadTimeout: defaultIdleTimeout, IdleTimeout: defaultIdleTimeout,
 	}
 	g.background("serve", func() {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -140,15 +140,26 @@
 	}
 }
 
+// handleHeartbeatGuarded drops a heartbeat that cannot be handled, and forgets
+// its sender until the next one.
+func (g *Gateway) handleHeartbeatGuarded(message heartbeatMessage) {
+	if g.guard("heartbeat", func() { g.handleHeartbeat(message) }) {
+		return
+	}
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	g.peers.table.Forget(message.own.Name)
+}
+
 // handleHeartbeat applies a heartbeat of another instance and the copies in it.
 func (g *Gateway) handleHeartbeat(message heartbeatMessage) {
 	now := time.Now()
 	g.operatorProgress.recordPeerVersion(message.own.Document)
 	g.registryProgress.recordPeerVersion(message.own.Registry)
-	g.mu.Lock()
-	g.engine.RecordBreaks(now, message.breaks)
-	g.engine.RecordObservations(now, message.own.Name, message.observations)
-	g.mu.Unlock()
+	g.withEngine(func(e *steer.Engine) {
+		e.RecordBreaks(now, message.breaks)
+		e.RecordObservations(now, message.own.Name, message.observations)
+	})
 	if g.recordHeartbeats(now, message) && message.own.Zone == g.node.Zone {
 		g.peers.reply(message.own)
 	}
@@ -200,9 +211,11 @@
 // It also detects that only this instance has lost the store.
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
-	g.mu.Lock()
-	breaks, observations := g.engine.RecentBreaks(now), g.engine.Observations(now)
-	g.mu.Unlock()
+	var breaks []steer.BrokenExchange
+	var observations []steer.Observation
+	g.guard("observations", func() {
+		g.withEngine(func(e *steer.Engine) { breaks, observations = e.RecentBreaks(now), e.Observations(now) })
+	})
 	g.peers.send(now, presence.State{
 		Ready: g.ready(), Leaving: g.leaving.Load(), Advertised: g.isAdvertised(),
 		Document: g.operatorProgress.newestVersion(), Registry: g.registryProgress.newestVersion(),
@@ -214,9 +227,9 @@
 	if !fleet.membersRead {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.engine.SetInstances(fleet.live, fleet.coldSenders, fleet.coldSender)
+	g.guard("instances", func() {
+		g.withEngine(func(e *steer.Engine) { e.SetInstances(fleet.live, fleet.coldSenders, fleet.coldSender) })
+	})
 }
 
 // maintainMembership writes this instance's row and reads those of the others.
@@ -311,10 +324,13 @@
 // readMembers reads the rows of all instances and greets those of the zone.
 // current reports whether this instance's own row is among them and holds.
 func (g *Gateway) readMembers() (current bool, err error) {
-	members, err := g.storeClient.ReadMembers(g.ctx)
+	members, refused, err := g.storeClient.ReadMembers(g.ctx)
 	if err != nil {
 		return false, err
 	}
+	for _, err := range refused {
+		telemetry.Failure("member_refused", err)
+	}
 	own := g.memberRow()
 	for _, m := range members {
 		if m.Name == own.Name {
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 
@@ -17,6 +18,10 @@
 	// maxBufferedBody is the largest request body that is held in memory. Such
 	// a body can be sent to a second target.
 	maxBufferedBody = 1 << 20
+	// maxHeldResponse is the largest part of a response body that is held in
+	// memory. A response that is held in full can be replaced by that of another
+	// target if it breaks off; a larger one is passed on in pieces.
+	maxHeldResponse = 128 << 10
 	// maxResponseBody limits the body of a target's response.
 	maxResponseBody = 16 << 20
 	// maxResponsesRead limits the responses that are read for one request. 1xx
@@ -26,6 +31,7 @@
 
 var (
 	errTooLarge           = errors.New("the body is larger than the limit")
+	errUploadTooLarge     = fmt.Errorf("upload: %w", errTooLarge)
 	errConflictingFraming = errors.New("the request has both Content-Length and Transfer-Encoding")
 	errIncompleteBody     = errors.New("the request body ended early or could not be read")
 	errMissingMAC         = errors.New("the response reports success but has no MAC")
@@ -37,6 +43,8 @@
 // memory.
 type body struct {
 	buffered []byte
+	// held is the share of the memory budget that buffered takes.
+	held *heldBody
 	// rest streams what follows buffered; it is nil if that is the whole body.
 	rest io.Reader
 	// length is the length of the whole body, or -1 for a chunked one that is
@@ -46,8 +54,16 @@
 
 func (b *body) size() int { return max(b.length, len(b.buffered)) }
 
-// readBody buffers a small body in full, and the first part of a larger one.
-func readBody(br *bufio.Reader, header *fasthttp.RequestHeader, limit int) (body, error) {
+// release returns the body's share of the memory budget.
+func (b *body) release() {
+	if b.held != nil {
+		b.held.release()
+	}
+}
+
+// readBody buffers a small body in full, and the first part of a larger one or
+// of one for which the budget has no room. The body must be released.
+func readBody(br *bufio.Reader, header *fasthttp.RequestHeader, limit int, budget *memoryBudget) (body, error) {
 	declared := header.ContentLength()
 	switch {
 	case declared == 0 || declared == -2:
@@ -57,15 +73,19 @@
 	case declared == -1 && hasContentLength(header):
 		return body{}, errConflictingFraming
 	case declared == -1:
-		return readChunkedBody(br, limit)
+		return readChunkedBody(br, limit, budget)
 	}
-	buffered := make([]byte, min(declared, maxBufferedBody))
-	if _, err := io.ReadFull(br, buffered); err != nil {
+	b := body{length: declared, held: &heldBody{budget: budget}}
+	b.held.expect(declared)
+	whole := &io.LimitedReader{R: br, N: int64(declared)}
+	ended, err := b.held.readUpTo(whole, min(declared, maxBufferedBody))
+	b.buffered = b.held.bytes
+	if err != nil || ended && len(b.buffered) < declared {
+		b.release()
 		return body{}, errIncompleteBody
 	}
-	b := body{buffered: buffered, length: declared}
-	if declared > maxBufferedBody {
-		b.rest = io.LimitReader(br, int64(declared-maxBufferedBody))
+	if len(b.buffered) < declared {
+		b.rest = whole
 	}
 	return b, nil
 }
@@ -76,22 +96,28 @@
 	return bytes.Contains(bytes.ToLower(header.RawHeaders()), []byte("content-length:"))
 }
 
-func readChunkedBody(br *bufio.Reader, limit int) (body, error) {
+func readChunkedBody(br *bufio.Reader, limit int, budget *memoryBudget) (body, error) {
 	chunks := chunked.NewReader(br)
-	buffered, err := io.ReadAll(io.LimitReader(chunks, maxBufferedBody+1))
-	if err != nil {
+	b := body{held: &heldBody{budget: budget}}
+	ended, err := b.held.readUpTo(chunks, maxBufferedBody+1)
+	b.buffered = b.held.bytes
+	switch {
+	case err != nil:
+		b.release()
 		return body{}, errIncompleteBody
-	}
-	if len(buffered) > limit {
+	case len(b.buffered) > limit:
+		b.release()
 		return body{}, errTooLarge
+	case ended:
+		b.length = len(b.buffered)
+	default:
+		b.rest, b.length = &limitedReader{reader: chunks, remaining: limit - len(b.buffered)}, -1
 	}
-	if len(buffered) <= maxBufferedBody {
-		return body{buffered: buffered, length: len(buffered)}, nil
-	}
-	return body{buffered: buffered, rest: &limitedReader{reader: chunks, remaining: limit - len(buffered)}, length: -1}, nil
+	return b, nil
 }
 
-// limitedReader returns errTooLarge when a chunked upload exceeds the limit.
+// limitedReader returns errTooLarge when a body of unknown length exceeds the
+// limit.
 type limitedReader struct {
 	reader    io.Reader
 	remaining int
@@ -167,18 +193,33 @@
 	return dst
 }
 
-// response is a complete response of a target.
+// response is the response of a target. Its body is held in memory, in full or
+// up to rest.
 type response struct {
 	header fasthttp.ResponseHeader
 	body   []byte
+	held   *heldBody
+	// rest streams what follows body; it is nil if that is the whole body.
+	rest io.Reader
+	// finish must be called once after rest was read; complete reports whether
+	// it was read to its end. It is nil if rest is.
+	finish func(complete bool)
 	// unframed is set if only the end of the connection marked the end of the
 	// body.
 	unframed bool
 }
 
+// release returns the body's share of the memory budget.
+func (resp *response) release() {
+	if resp.held != nil {
+		resp.held.release()
+	}
+}
+
 // readResponse reads the response to the request with the given id. It skips
-// responses to earlier requests on the connection.
-func readResponse(br *bufio.Reader, id []byte, isHead, firstOnConn bool) (*response, error) {
+// responses to earlier requests on the connection. The response must be
+// released.
+func readResponse(br *bufio.Reader, id []byte, isHead, firstOnConn bool, held *heldBody) (*response, error) {
 	for range maxResponsesRead {
 		resp := &response{}
 		if err := resp.header.Read(br); err != nil {
@@ -187,15 +228,19 @@
 		if resp.header.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		if err := resp.readBody(br, isHead); err != nil {
+		content, err := resp.content(br, isHead)
+		if err != nil {
 			return nil, err
 		}
 		if resp.matches(id, firstOnConn) {
-			return resp, nil
+			return resp, resp.hold(content, held)
 		}
 		if resp.unframed {
 			break
 		}
+		if _, err := io.Copy(io.Discard, content); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errNoMatchingResponse
 }
@@ -211,34 +256,63 @@
 	return bytes.Equal(echoed, id)
 }
 
-func (resp *response) readBody(br *bufio.Reader, isHead bool) error {
+// content returns a reader of the body. It returns io.EOF only at the end of a
+// complete body, and an error beyond maxResponseBody.
+func (resp *response) content(br *bufio.Reader, isHead bool) (io.Reader, error) {
 	status, length := resp.header.StatusCode(), resp.header.ContentLength()
-	if isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
-	}
-	var err error
 	switch {
+	case isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return bytes.NewReader(nil), nil
 	case length > maxResponseBody:
-		return errTooLarge
+		return nil, errTooLarge
 	case length >= 0:
-		resp.body = make([]byte, length)
-		_, err = io.ReadFull(br, resp.body)
+		return &fixedReader{reader: br, remaining: length}, nil
 	case length == -1:
-		chunks := chunked.NewReader(br)
-		resp.body, err = io.ReadAll(io.LimitReader(chunks, maxResponseBody+1))
+		return &limitedReader{reader: chunked.NewReader(br), remaining: maxResponseBody}, nil
 	default:
 		resp.unframed = true
-		resp.body, err = io.ReadAll(io.LimitReader(br, maxResponseBody+1))
+		return &limitedReader{reader: br, remaining: maxResponseBody}, nil
 	}
+}
+
+// hold reads the body, or the first part of a large one. On an error it keeps
+// nothing.
+func (resp *response) hold(content io.Reader, held *heldBody) error {
+	held.expect(resp.header.ContentLength())
+	ended, err := held.readUpTo(content, maxHeldResponse)
 	if err != nil {
+		held.release()
 		return err
 	}
-	if len(resp.body) > maxResponseBody {
-		return errTooLarge
+	resp.held, resp.body = held, held.bytes
+	if !ended {
+		resp.rest = content
 	}
 	return nil
 }
 
+// fixedReader reads a body of known length. A source that ends early is an
+// error.
+type fixedReader struct {
+	reader    io.Reader
+	remaining int
+}
+
+func (f *fixedReader) Read(p []byte) (int, error) {
+	if f.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := f.reader.Read(p[:min(len(p), f.remaining)])
+	f.remaining -= n
+	switch {
+	case f.remaining == 0:
+		return n, io.EOF
+	case err == io.EOF:
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // validate returns an error if the response must not be forwarded as the
 // target's.
 func (resp *response) validate() error {
@@ -255,9 +329,9 @@
 	return resp.header.StatusCode() >= fasthttp.StatusOK && resp.header.StatusCode() < fasthttp.StatusMultipleChoices
 }
 
-// appendTo encodes the response for the caller. closeConn announces that the
-// connection closes.
-func (resp *response) appendTo(dst []byte, isHead, closeConn bool) []byte {
+// appendHead encodes the status line and the header for the caller. framing says
+// how the body is delimited.
+func (resp *response) appendHead(dst []byte, framing framing) []byte {
 	dst = appendStatusLine(dst, resp.header.StatusCode())
 	options := connectionOptions(resp.header.Peek("Connection"))
 	for name, value := range resp.header.All() {
@@ -266,12 +340,28 @@
 		}
 		dst = appendField(dst, name, value)
 	}
-	length := len(resp.body)
-	if isHead {
-		length = max(resp.header.ContentLength(), 0)
+	return framing.appendTo(dst)
+}
+
+// framing delimits the body of a response to a caller and says whether the
+// connection stays open.
+type framing struct {
+	// length is the declared length, or -1 for a chunked body.
+	length    int
+	closeConn bool
+}
+
+func (f framing) appendTo(dst []byte) []byte {
+	if f.length < 0 {
+		dst = append(dst, "Transfer-Encoding: chunked"...)
+	} else {
+		dst = append(dst, "Content-Length: "...)
+		dst = strconv.AppendInt(dst, int64(f.length), 10)
 	}
-	dst = appendHeaderEnd(dst, length, closeConn)
-	return append(dst, resp.body...)
+	if f.closeConn {
+		dst = append(dst, "\r\nConnection: close"...)
+	}
+	return append(dst, "\r\n\r\n"...)
 }
 
 func appendStatusLine(dst []byte, status int) []byte {
@@ -281,14 +371,3 @@
 	dst = append(dst, fasthttp.StatusMessage(status)...)
 	return append(dst, "\r\n"...)
 }
-
-// appendHeaderEnd appends the last fields of a header and the empty line.
-// closeConn announces that the connection closes.
-func appendHeaderEnd(dst []byte, length int, closeConn bool) []byte {
-	dst = append(dst, "Content-Length: "...)
-	dst = strconv.AppendInt(dst, int64(length), 10)
-	if closeConn {
-		dst = append(dst, "\r\nConnection: close"...)
-	}
-	return append(dst, "\r\n\r\n"...)
-}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -60,9 +60,13 @@
 	// idleLimit limits how long a connection may have been idle when it is used
 	// again.
 	idleLimit reuse.IdleLimit
+	// budget bounds the responses that are held in memory.
+	budget *memoryBudget
 }
 
-func newPools() *pools { return &pools{byID: map[steer.TargetID]*pool{}} }
+func newPools(budget *memoryBudget) *pools {
+	return &pools{byID: map[steer.TargetID]*pool{}, budget: budget}
+}
 
 // take returns an idle connection that is open and has nothing to read, or nil.
 // It closes the ones that it finds unusable.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 	"time"
 
@@ -32,6 +33,9 @@
 	status             int
 	text               string
 	retryAfter         time.Duration
+	// streamed is called once with the end of a response that is passed on in
+	// pieces; it is nil for all others.
+	streamed func(error)
 }
 
 // gatewayReply returns a reply that does not come from a target.
@@ -39,11 +43,11 @@
 	return &reply{status: status, text: text, retryAfter: retryAfter}
 }
 
-// appendTo encodes the reply. closeConn announces that the connection closes.
+// appendTo encodes the reply, but for the body of a target's response. closeConn
+// announces that the connection closes.
 func (p *reply) appendTo(dst []byte, r *request, closeConn bool) []byte {
-	isHead := r.header != nil && r.header.IsHead()
 	if p.response != nil {
-		return p.response.appendTo(dst, isHead, closeConn)
+		return p.response.appendHead(dst, framing{p.responseLength(r), closeConn})
 	}
 	dst = appendStatusLine(dst, p.status)
 	if len(r.id) > 0 {
@@ -55,13 +59,29 @@
 		dst = append(dst, "\r\n"...)
 	}
 	dst = append(dst, "Content-Type: text/plain; charset=utf-8\r\n"...)
-	dst = appendHeaderEnd(dst, len(p.text)+1, closeConn)
-	if isHead {
+	dst = framing{len(p.text) + 1, closeConn}.appendTo(dst)
+	if r.isHead() {
 		return dst
 	}
 	return append(append(dst, p.text...), '\n')
 }
 
+// responseLength returns the length that is declared for the body of a target's
+// response, or -1 if it is not known yet.
+func (p *reply) responseLength(r *request) int {
+	declared := p.response.header.ContentLength()
+	switch {
+	case r.isHead():
+		return max(declared, 0)
+	case p.response.rest == nil:
+		return len(p.response.body)
+	default:
+		return max(declared, -1)
+	}
+}
+
+func (r *request) isHead() bool { return r.header != nil && r.header.IsHead() }
+
 func (g *Gateway) newRequest(header *fasthttp.RequestHeader, b body, arrived time.Time) *request {
 	r := &request{header: header, body: b, arrived: arrived}
 	r.id = append([]byte(nil), header.Peek(headerRequestID)...)
@@ -114,9 +134,24 @@
 	return string(path)
 }
 
+// handleGuarded responds with status 502 to a request whose handling panicked:
+// it may have run.
+func (g *Gateway) handleGuarded(r *request, c *callerConn) (p *reply) {
+	if !g.guard("request", func() { p = g.handleRequest(r, c) }) {
+		c.cancelExchange()
+		g.logRefused(r, fasthttp.StatusBadGateway, reasonPanic)
+		p = gatewayReply(fasthttp.StatusBadGateway, "internal error", 0)
+	}
+	return p
+}
+
+// reasonPanic is logged for a request whose handling panicked.
+const reasonPanic = "panic"
+
 // handleRequest sends a request to targets until one response is final or the
 // request is refused, and returns the reply.
 func (g *Gateway) handleRequest(r *request, c *callerConn) *reply {
+	defer r.body.release()
 	route, refused := g.matchRoute(r)
 	if refused != nil {
 		return refused
@@ -137,15 +172,23 @@
 			x.cancel()
 		}
 		out := x.do(g.pools, req, &send)
+		if out.isStreamed() {
+			return g.streamedReply(r, c, &send, &out)
+		}
 		c.detach()
 		next, refusal := g.finishExchange(r, &send, &out)
-		if refusal != nil {
-			return g.refuse(r, refusal)
-		}
-		if next == nil {
+		if refusal == nil && next == nil {
 			g.logServed(r, &send, out.response.header.StatusCode())
 			return &reply{response: out.response}
 		}
+		out.release()
+		if errors.Is(out.err, errUploadTooLarge) {
+			g.logRefused(r, fasthttp.StatusRequestEntityTooLarge, out.err.Error())
+			return gatewayReply(fasthttp.StatusRequestEntityTooLarge, out.err.Error(), 0)
+		}
+		if refusal != nil {
+			return g.refuse(r, refusal)
+		}
 		send, req.newConnOnly = *next, out.StaleConnection
 	}
 }
@@ -174,19 +217,18 @@
 // be outdated.
 const noDocumentRetryAfter = 300 * time.Millisecond
 
-func (g *Gateway) chooseTarget(r *request) (steer.Send, *steer.Refusal) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.engine.Arrive(time.Now(), &r.Request)
+func (g *Gateway) chooseTarget(r *request) (send steer.Send, refusal *steer.Refusal) {
+	g.withEngine(func(e *steer.Engine) { send, refusal = e.Arrive(time.Now(), &r.Request) })
+	return send, refusal
 }
 
-func (g *Gateway) finishExchange(r *request, s *steer.Send, out *outcome) (*steer.Send, *steer.Refusal) {
-	g.mu.Lock()
-	if out.dialTime > 0 {
-		g.engine.ObserveRTT(s.Zone, out.dialTime)
-	}
-	next, refusal := g.engine.Finish(time.Now(), &r.Request, s, out.ExchangeReport)
-	g.mu.Unlock()
+func (g *Gateway) finishExchange(r *request, s *steer.Send, out *outcome) (next *steer.Send, refusal *steer.Refusal) {
+	g.withEngine(func(e *steer.Engine) {
+		if out.dialTime > 0 {
+			e.ObserveRTT(s.Zone, out.dialTime)
+		}
+		next, refusal = e.Finish(time.Now(), &r.Request, s, out.ExchangeReport)
+	})
 	g.metrics.countExchange(r.Service, out.Result)
 	if out.Result != steer.Responded {
 		g.logExchange(r, s, out, next != nil)
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -24,9 +24,10 @@
 func (g *Gateway) maintainStandby() {
 	for g.ctx.Err() == nil {
 		if !g.leaving.Load() && g.isAdvertised() {
-			g.mu.Lock()
-			wanted := g.engine.StandbyEndpoints(time.Now())
-			g.mu.Unlock()
+			var wanted []steer.Endpoint
+			g.guard("standby", func() {
+				g.withEngine(func(e *steer.Engine) { wanted = e.StandbyEndpoints(time.Now()) })
+			})
 			g.openStandbyConns(wanted)
 		}
 		pause(g.ctx, standbyInterval)
@@ -53,9 +54,7 @@
 				return
 			}
 			g.pools.putUnused(time.Now(), endpoint.Target, conn)
-			g.mu.Lock()
-			g.engine.ObserveRTT(endpoint.Zone, rtt)
-			g.mu.Unlock()
+			g.withEngine(func(e *steer.Engine) { e.ObserveRTT(endpoint.Zone, rtt) })
 		})
 	}
 	dials.Wait()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
@@ -301,8 +303,9 @@
 	// moves the position.
 	if snapshot || len(rows) > 0 {
 		f.next = at.Next
-		f.apply(now, rows, snapshot)
+		// An engine that is rebuilt meanwhile needs the rows.
 		f.history.update(now, rows, at, snapshot)
+		f.apply(now, rows, snapshot)
 		f.progress.advance(at)
 	}
 	if afterFailure && !snapshot && f.progress.isBehind() {
@@ -332,7 +335,12 @@
 	}
 	go func() {
 		defer close(done)
-		result.rows, result.at, result.err = src.Watch(ctx, f.table, after, maxLongPollWait/2+rand.N(maxLongPollWait/2))
+		recovered := panics.Try(func() {
+			result.rows, result.at, result.err = src.Watch(ctx, f.table, after, maxLongPollWait/2+rand.N(maxLongPollWait/2))
+		})
+		if recovered != nil {
+			result.err = recovered.AsError()
+		}
 	}()
 	select {
 	case <-done:
@@ -363,43 +371,42 @@
 // applyOperator applies the operator's documents and evacuations. snapshot
 // means that rows is the whole table.
 func (g *Gateway) applyOperator(now time.Time, rows []platform.Row, snapshot bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	evacuated := map[string]bool{}
 	for _, change := range platform.DecodeOperator(rows) {
-		switch {
-		case change.Err != nil:
-			telemetry.Failure("document_refused", change.Err)
-		case change.Document != nil:
-			g.activate(change.Document)
-		default:
+		if change.Document == nil && change.Err == nil {
 			evacuated[change.Zone] = change.Evacuated
-			g.evacuate(now, change.Zone, change.Evacuated)
 		}
+		g.guard("operator_row", func() { g.applyOperatorChange(now, change) })
 	}
 	if !snapshot {
 		return
 	}
-	for _, zone := range g.engine.Evacuated() {
+	var before []string
+	g.withEngine(func(e *steer.Engine) { before = e.Evacuated() })
+	for _, zone := range before {
 		if !evacuated[zone] {
-			g.evacuate(now, zone, false)
+			g.applyOperatorChange(now, platform.OperatorChange{Zone: zone})
 		}
 	}
 }
 
-// activate and evacuate are called with mu held.
-func (g *Gateway) activate(doc *steer.Document) {
-	if !g.engine.SetDocument(doc) {
+// applyOperatorChange applies one change and logs it.
+func (g *Gateway) applyOperatorChange(now time.Time, change platform.OperatorChange) {
+	if change.Err != nil {
+		g.metrics.increment("documents_refused_total")
+		telemetry.Failure("document_refused", change.Err, telemetry.F("active", g.documentVersion()))
 		return
 	}
-	g.document.Store(doc)
-	telemetry.Event("document_active", telemetry.F("version", doc.Version),
-		telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)))
-}
-
-func (g *Gateway) evacuate(now time.Time, zone string, active bool) {
-	g.engine.Evacuate(now, zone, active)
-	telemetry.Event("evacuation", telemetry.F("zone", zone), telemetry.F("active", active))
+	news := false
+	g.withEngine(func(e *steer.Engine) { news = applyOperatorChange(e, now, change) })
+	switch doc := change.Document; {
+	case doc == nil:
+		telemetry.Event("evacuation", telemetry.F("zone", change.Zone), telemetry.F("active", change.Evacuated))
+	case news:
+		g.document.Store(doc)
+		telemetry.Event("document_active", telemetry.F("version", doc.Version),
+			telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)))
+	}
 }
 
 func (g *Gateway) watchRegistry() {
@@ -416,35 +423,40 @@
 // applyRegistry applies changed entries of targets. known holds the targets
 // that the registry lists.
 func (g *Gateway) applyRegistry(now time.Time, changes []platform.TargetChange, snapshot bool, known map[steer.TargetID]bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	listed := map[steer.TargetID]bool{}
 	for _, change := range changes {
-		if change.Err != nil {
-			telemetry.Event("target_refused", telemetry.F("target", change.ID), telemetry.F("error", change.Err))
-		}
-		if change.Removed || change.Err != nil {
-			g.dropTarget(now, change.ID, known)
-			continue
-		}
-		listed[change.ID], known[change.ID] = true, true
-		accepted := g.engine.PutTarget(now, change.Record)
-		telemetry.Event("target", telemetry.F("target", change.ID), telemetry.F("service", change.Record.Service),
-			telemetry.F("zone", change.Record.Zone), telemetry.F("address", change.Record.Address),
-			telemetry.F("draining", change.Record.Draining), telemetry.F("cold", change.Record.ColdRemaining),
-			telemetry.F("boot", change.Record.Boot), telemetry.F("sequence", change.Record.Sequence),
-			telemetry.F("taken", accepted))
+		g.guard("registry_row", func() { g.applyTargetChange(now, change, known) })
+		listed[change.ID] = known[change.ID]
 	}
-	if snapshot {
-		for id := range known {
-			if !listed[id] {
-				g.dropTarget(now, id, known)
-			}
+	if !snapshot {
+		return
+	}
+	for id := range known {
+		if !listed[id] {
+			g.dropTarget(now, id, known)
 		}
-		g.storeState.mu.Lock()
-		g.storeState.registryRead = true
-		g.storeState.mu.Unlock()
 	}
+	g.storeState.mu.Lock()
+	g.storeState.registryRead = true
+	g.storeState.mu.Unlock()
+}
+
+func (g *Gateway) applyTargetChange(now time.Time, change platform.TargetChange, known map[steer.TargetID]bool) {
+	if change.Err != nil {
+		telemetry.Event("target_refused", telemetry.F("target", change.ID), telemetry.F("error", change.Err))
+	}
+	if change.Removed || change.Err != nil {
+		g.dropTarget(now, change.ID, known)
+		return
+	}
+	accepted := false
+	g.withEngine(func(e *steer.Engine) { accepted = e.PutTarget(now, change.Record) })
+	known[change.ID] = true
+	telemetry.Event("target", telemetry.F("target", change.ID), telemetry.F("service", change.Record.Service),
+		telemetry.F("zone", change.Record.Zone), telemetry.F("address", change.Record.Address),
+		telemetry.F("draining", change.Record.Draining), telemetry.F("cold", change.Record.ColdRemaining),
+		telemetry.F("boot", change.Record.Boot), telemetry.F("sequence", change.Record.Sequence),
+		telemetry.F("taken", accepted))
 }
 
 func (g *Gateway) dropTarget(now time.Time, id steer.TargetID, known map[steer.TargetID]bool) {
@@ -453,6 +465,6 @@
 	}
 	delete(known, id)
 	grace := g.storeState.removalGrace(now)
-	g.engine.DropTarget(now, id, grace)
+	g.withEngine(func(e *steer.Engine) { e.DropTarget(now, id, grace) })
 	telemetry.Event("target_gone", telemetry.F("target", id), telemetry.F("grace", grace))
 }
