steer: standby connections for the shortest latency objectives first

Of 729 far targets each instance keeps 256 connections ready, drawn at random over the services, so that only 35% of those for price quotes (objective 250 ms) were open, as many as for orders (800 ms). Change: services whose main routes have the shortest objective come first. Also: the fraction of objects that a region is expected to send elsewhere counts only usable targets (it counted draining, evacuated and ejected ones). Tests: TestStandbyPrefersShortObjectives (37 of 60 before), TestExpectedFractionCountsUsableTargets; both failed before.

--- a/core/steer/spill.go
+++ b/core/steer/spill.go
@@ -72,7 +72,7 @@
 func (e *Engine) adjustSpill(now time.Time, s *regionSpill, targets []*target) {
 	own, others := e.regionLoads(now, targets)
 	if now.Sub(s.startedAt) < settleTime {
-		s.setFraction(e.expectedFraction(targets), own.slots, others.slots)
+		s.setFraction(e.expectedFraction(now, targets), own.slots, others.slots)
 		return
 	}
 	fraction := s.fraction(own.slots, others.slots)
@@ -107,13 +107,19 @@
 
 // expectedFraction returns the number of slots that the own region is expected
 // to lack, as a fraction of those that it is expected to need.
-func (e *Engine) expectedFraction(targets []*target) float64 {
+func (e *Engine) expectedFraction(now time.Time, targets []*target) float64 {
 	slots := map[string]float64{}
 	total := 0.0
 	for _, t := range targets {
+		if !e.inService(now, t) || t.health.ejections > 0 {
+			continue
+		}
 		slots[t.region] += float64(t.Slots)
 		total += float64(t.Slots)
 	}
+	if total == 0 {
+		return 0
+	}
 	need := fairShareFactor * total / float64(len(slots))
 	return max(1-slots[e.self.Region]/need, 0)
 }
--- a/core/steer/spill_test.go
+++ b/core/steer/spill_test.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -44,3 +46,20 @@
 	}
 	is.True(fraction() > prepared)
 }
+
+// Guards against a region that keeps its objects although most of its targets
+// are draining when it starts.
+func TestExpectedFractionCountsUsableTargets(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 4, "a1", "a2", "b1", "b2")
+	targets := e.byService["s"]
+	is.Equal(e.expectedFraction(start, targets), 0.0)
+	for i := range 4 {
+		leaving := testRecord(fmt.Sprintf("s-a2-%d", i), "s", "a2")
+		leaving.Draining, leaving.Sequence = true, 2
+		is.True(e.PutTarget(start, leaving))
+	}
+	e.targets["s-a1-0"].health.recordFailure(start, true)
+	is.True(math.Abs(e.expectedFraction(start, targets)-(1-3/5.5)) < 1e-9) // 3 of 11 targets, and 2 regions
+}
--- a/core/steer/standby.go
+++ b/core/steer/standby.go
@@ -46,10 +46,13 @@
 			}
 		}
 	}
-	// The order differs between instances, so that those that cannot hold all
-	// connections leave out different targets.
+	// A round trip matters most where the latency objective is shortest. Among
+	// the targets of a service the order differs between instances, so that
+	// those that cannot hold all connections leave out different targets.
+	objectives := e.shortestObjectives()
 	slices.SortFunc(wanted, func(a, b *target) int {
-		return cmp.Compare(rendezvousRank(e.self.Name, a.hash), rendezvousRank(e.self.Name, b.hash))
+		return cmp.Or(cmp.Compare(objectives[a.Service], objectives[b.Service]),
+			cmp.Compare(rendezvousRank(e.self.Name, a.hash), rendezvousRank(e.self.Name, b.hash)))
 	})
 	endpoints := make([]Endpoint, 0, min(len(wanted), maxStandbyTargets))
 	for _, t := range wanted[:min(len(wanted), maxStandbyTargets)] {
@@ -57,3 +60,32 @@
 	}
 	return endpoints
 }
+
+// shortestObjectives returns, for each service, the shortest latency objective
+// of the routes that send it at least half of their requests.
+func (e *Engine) shortestObjectives() map[string]time.Duration {
+	shortest := map[string]time.Duration{}
+	if e.document == nil {
+		return shortest
+	}
+	for i := range e.document.Routes {
+		route := &e.document.Routes[i]
+		objective := route.LatencyObjective
+		if objective <= 0 {
+			objective = route.Timeout
+		}
+		total := 0
+		for _, share := range route.Shares {
+			total += share.Weight
+		}
+		for _, share := range route.Shares {
+			if 2*share.Weight < total {
+				continue
+			}
+			if known, found := shortest[share.Service]; !found || objective < known {
+				shortest[share.Service] = objective
+			}
+		}
+	}
+	return shortest
+}
--- a/core/steer/standby_test.go
+++ b/core/steer/standby_test.go
@@ -58,3 +58,29 @@
 	}
 	is.True(len(chosen) > maxStandbyTargets)
 }
+
+// Guards against connections that are kept for services with time to spare while
+// those with a short latency objective wait a round trip for each new one: more
+// far targets than maxStandbyTargets.
+func TestStandbyPrefersShortObjectives(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	doc := testDocument(t, 2)
+	doc.Routes = append(doc.Routes, Route{Name: "urgent", Host: "h", Prefix: "/urgent/", Timeout: time.Second,
+		LatencyObjective: 150 * time.Millisecond, Shares: []Share{{"s2", 90}, {"s", 10}}, MaxAttempts: 2})
+	is.NoErr(doc.Build())
+	is.True(e.SetDocument(doc))
+	for _, service := range []string{"s", "s2"} {
+		addTargets(e, service, 1, "a1")
+	}
+	addTargets(e, "s", 200, "b1", "b2")
+	addTargets(e, "s2", 30, "b1", "b2")
+	e.Tick(start)
+	urgent := 0
+	for _, endpoint := range e.StandbyEndpoints(start) {
+		if e.targets[endpoint.Target].Service == "s2" {
+			urgent++
+		}
+	}
+	is.Equal(urgent, 60)
+}
