gateway: after one failed call of the store a starting instance asks its zone

Change: failures of the store and of an instance are told apart, and the two alternate from the first one on. Test: TestStartAlternatesBetweenStoreAndZone.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -178,18 +178,28 @@
 	return !now.Before(r.usableAt)
 }
 
+// nextFailures returns the failure count after a call failed. It is odd after a
+// call to the store and even after one to another instance, which selectSource
+// uses to alternate between them.
+func nextFailures(failures int, relayed bool) int {
+	failures++
+	if failures%2 == 1 == relayed {
+		failures++
+	}
+	return failures
+}
+
 // selectSource returns where the next call of a feed goes; relayed reports
-// whether that is another instance. failures is the number of calls that failed
-// since the last success, hasState means that the feed was read before.
+// whether that is another instance. failures is 0 after a success, and counted
+// by nextFailures since. hasState means that the feed was read before.
 func (g *Gateway) selectSource(failures int, hasState bool) (src source, relayed bool) {
 	now := time.Now()
 	live := g.peers.live(now)
 	address, acceptsStale := "", false
 	switch {
-	case !hasState && failures > 0 && failures%2 == 0:
-		// The store may be unreachable while this instance starts, so every
-		// other call after the first ones goes to another instance, which may
-		// have lost the store as well.
+	case !hasState && failures%2 == 1:
+		// The store may be unreachable while this instance starts. Another one
+		// may have lost it as well, but its tables are better than none.
 		address, acceptsStale = readyPeerInZone(g.node.Zone, live), true
 	case failures == 0 && g.relays.isUsable(now):
 		address = relayAddress(g.self(), live)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -102,3 +102,15 @@
 	t.Cleanup(elsewhere.Cleanup)
 	s.waitFor("a new row", func() bool { return s.store.Calls("/rows-tx") == written+1 })
 }
+
+// Guards against an instance that starts without the store and does not ask the
+// zone until several calls have timed out, and against one that takes stale
+// tables before it asked the store.
+func TestStartAlternatesBetweenStoreAndZone(t *testing.T) {
+	is := is.New(t)
+	is.Equal(nextFailures(0, false), 1) // the store failed: next is the zone
+	is.Equal(nextFailures(1, true), 2)  // the zone failed: next is the store
+	is.Equal(nextFailures(1, false), 3) // no instance of the zone was known
+	is.Equal(nextFailures(0, true), 2)  // the relay refused: next is the store
+	is.Equal(nextFailures(2, false), 3)
+}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
@@ -275,3 +276,66 @@
 	is.True(served >= 90)
 	is.True(slow <= 5)
 }
+
+// Guards against a second copy of a response that arrives on a connection in use
+// again: at any delay, the next caller gets its own response or an error, and
+// a request runs at most once.
+func TestLateCopiesNeverReachAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	runs := map[string]int{}
+	u := s.startTarget("i-1", func(conn net.Conn, r *receivedRequest) bool {
+		mu.Lock()
+		runs[r.line]++
+		copies, delay := random.IntN(3), time.Duration(random.IntN(30))*time.Millisecond
+		if random.IntN(100) == 0 {
+			delay = time.Duration(random.IntN(2000)) * time.Millisecond
+		}
+		mu.Unlock()
+		if !respondOK(conn, r) {
+			return false
+		}
+		for range copies {
+			time.AfterFunc(delay, func() { respondOK(conn, r) })
+		}
+		return true
+	})
+	u.forgets.Store(true)
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	const callers, requests = 8, 150
+	var running sync.WaitGroup
+	wrong, served := 0, 0
+	for caller := range callers {
+		running.Go(func() {
+			c := s.connect(g)
+			for i := range requests {
+				path := fmt.Sprintf("/order/%d-%d", caller, i)
+				c.lastID = caller*requests + i // no two requests share an id
+				resp := c.do("POST", path, "x")
+				mu.Lock()
+				switch {
+				case resp.err != nil:
+					c = s.connect(g)
+				case resp.status < 300 && resp.body != "body of POST "+path:
+					wrong++
+				case resp.status < 300:
+					served++
+				}
+				mu.Unlock()
+				time.Sleep(time.Duration(i%7) * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	is.Equal(wrong, 0)
+	t.Logf("served %d of %d", served, callers*requests)
+	is.True(served > callers*requests/2)
+	for line, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", line, n)
+		}
+	}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -251,7 +251,7 @@
 		switch {
 		case errors.Is(err, errPollAbandoned):
 			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("version", f.next))
-			failures++
+			failures = nextFailures(failures, relayed)
 		case errors.Is(err, platform.ErrHistoryDropped):
 			f.synced = false
 			telemetry.Event("feed_reset", telemetry.F("feed", f.table), telemetry.F("version", f.next))
@@ -259,11 +259,11 @@
 		case err != nil && relayed:
 			telemetry.Event("relay_failed", telemetry.F("feed", f.table), telemetry.F("error", err))
 			g.relays.recordFailure(now, err)
-			failures++
+			failures = nextFailures(failures, relayed)
 			pause(g.ctx, backoff(failures))
 		case err != nil:
 			g.storeState.recordFailure(now, err)
-			failures++
+			failures = nextFailures(failures, relayed)
 			pause(g.ctx, backoff(failures))
 		default:
 			failures = 0
