--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -81,8 +81,8 @@
 	telemetry.Event("engine_rebuilt", telemetry.F("targets", g.engine.Targets()))
 }
 
-// applyOperatorChange applies a change to an engine and reports whether it was
-// news.
+// applyOperatorChange applies a change to an engine. It returns false for a
+// document that is not newer than the active one.
 func applyOperatorChange(e *steer.Engine, now time.Time, change platform.OperatorChange) bool {
 	switch {
 	case change.Err != nil:
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -158,12 +158,12 @@
 func (c *caller) exchangeOnce(path string) error {
 	_ = c.conn.SetDeadline(time.Now().Add(10 * time.Second))
 	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\n\r\n", path); err != nil {
-		return fmt.Errorf("write: %s", lastWords(err))
+		return fmt.Errorf("write: %s", causeOf(err))
 	}
 	buffer := make([]byte, 4096)
 	n, err := c.conn.Read(buffer)
 	if err != nil {
-		return fmt.Errorf("read: %s", lastWords(err))
+		return fmt.Errorf("read: %s", causeOf(err))
 	}
 	if text := string(buffer[:n]); !strings.HasPrefix(text, "HTTP/1.1 200") && !strings.HasPrefix(text, "HTTP/1.1 503") {
 		return fmt.Errorf("response: %.20q", buffer[:n])
@@ -171,8 +171,8 @@
 	return nil
 }
 
-// lastWords returns the cause of a network error without its addresses.
-func lastWords(err error) string {
+// causeOf returns the cause of a network error without its addresses.
+func causeOf(err error) string {
 	text := err.Error()
 	return text[strings.LastIndex(text, ": ")+1:]
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -412,12 +412,12 @@
 		telemetry.Failure("document_refused", change.Err, telemetry.F("active", g.documentVersion()))
 		return
 	}
-	news := false
-	g.withEngine(func(e *steer.Engine) { news = applyOperatorChange(e, now, change) })
+	changed := false
+	g.withEngine(func(e *steer.Engine) { changed = applyOperatorChange(e, now, change) })
 	switch doc := change.Document; {
 	case doc == nil:
 		telemetry.Event("evacuation", telemetry.F("zone", change.Zone), telemetry.F("active", change.Evacuated))
-	case news:
+	case changed:
 		g.document.Store(doc)
 		telemetry.Event("document_active", telemetry.F("version", doc.Version),
 			telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)))
