gateway: a relay encodes its tables once, compressed, and a large zone waits for its relay

The rows of more than 200 instances are refused with 429 for a second at the first start, after which an instance did not wait for its relay. Change: the table is encoded once after each change, with gzip, and shared by all responses; followers wait 3 s for it. At the first start an instance waits up to 3 s for its row and replies; after a restart 4 ms longer for each instance of the zone, 200 ms at most.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -320,5 +320,17 @@
 	return live
 }
 
+// KnownInZone returns the number of other known instances of the own zone, live
+// or not.
+func (t *Table) KnownInZone() int {
+	n := 0
+	for _, m := range t.members {
+		if m.Zone == t.self.Zone {
+			n++
+		}
+	}
+	return n
+}
+
 // Known returns the number of other known instances, live or not.
 func (t *Table) Known() int { return len(t.members) }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -23,9 +23,16 @@
 	memberSyncInterval = 30 * time.Second
 	// startMembersWait is how long a starting instance waits for the instances of
 	// its zone to reply before it reads the feeds: one of them may spare it the
-	// calls to the store. greetingWait is the part of it for their replies.
+	// calls to the store. At the first start of the system no caller waits, and
+	// the rows of all instances are written one after the other.
 	startMembersWait = time.Second
-	greetingWait     = 15 * time.Millisecond
+	firstStartWait   = 3 * time.Second
+	// minGreetingWait and greetingWaitPerInstance are how long replies to a
+	// greeting may take, up to maxGreetingWait: in a large zone that starts
+	// again, more instances would otherwise read the store.
+	minGreetingWait         = 15 * time.Millisecond
+	greetingWaitPerInstance = 4 * time.Millisecond
+	maxGreetingWait         = 200 * time.Millisecond
 	// memberRetryDelay is the pause after a failed call.
 	memberRetryDelay = time.Second
 	// maxHeartbeatBytes limits the size of a received heartbeat.
@@ -237,11 +244,14 @@
 	registered := false
 	for g.ctx.Err() == nil {
 		period := memberSyncInterval
-		if err := g.syncMembers(&registered); err != nil {
+		err := g.syncMembers(&registered)
+		if err != nil {
 			telemetry.Failure("sync_members", err)
 			period = memberRetryDelay
 		}
-		g.peers.closeGreeted()
+		if err == nil || !g.node.FirstStart {
+			g.peers.closeGreeted()
+		}
 		pause(g.ctx, period)
 	}
 }
@@ -278,20 +288,34 @@
 }
 
 // awaitMembers waits at the start of an instance until the instances of its zone
-// had time to reply to its greeting, or for startMembersWait.
+// had time to reply to its greeting, but no longer than startMembersWait, or
+// firstStartWait.
 func (g *Gateway) awaitMembers() {
-	timer := time.NewTimer(startMembersWait)
+	limit := startMembersWait
+	if g.node.FirstStart {
+		limit = firstStartWait
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-g.peers.greeted:
-		pause(g.ctx, greetingWait)
+		wait := minGreetingWait + time.Duration(g.peers.knownInZone())*greetingWaitPerInstance
+		pause(g.ctx, min(wait, maxGreetingWait))
 	case <-timer.C:
 	case <-g.ctx.Done():
 	}
 }
 
+// knownInZone returns the number of other known instances of the zone.
+func (p *peers) knownInZone() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.KnownInZone()
+}
+
 // closeGreeted ends the wait of awaitMembers. Only maintainMembership calls it,
-// also after a failure: without the store no instance can be greeted.
+// after a restart also if that failed: without the store no instance can be
+// greeted.
 func (p *peers) closeGreeted() {
 	select {
 	case <-p.greeted:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -34,7 +37,10 @@
 	relayRefusalDelay = presence.Interval
 	// relayStartWait is how long a relay that starts at the same time may take
 	// to read a feed.
-	relayStartWait = 600 * time.Millisecond
+	relayStartWait = time.Second
+	// tableTimeoutMargin replaces relayTimeoutMargin for a whole table, which a
+	// relay sends to all instances of a zone that starts.
+	tableTimeoutMargin = 2 * time.Second
 	// relayTimeoutMargin is added to the time for which a relay may hold a
 	// call. It also limits the opening of a connection to the relay.
 	relayTimeoutMargin = 700 * time.Millisecond
@@ -58,6 +64,9 @@
 	prunedVersion uint64
 	// changed is closed at the next update.
 	changed chan struct{}
+	// table is the encoded response to a call for all rows, nil if it has not
+	// been encoded since the last update.
+	table []byte
 }
 
 func newHistory() *history {
@@ -82,6 +91,7 @@
 	h.position.Newest = max(h.position.Newest, at.Newest)
 	h.position.Covered = max(h.position.Covered, at.Covered)
 	h.pruneTombstones(now)
+	h.table = nil
 	if snapshot || len(rows) > 0 {
 		close(h.changed)
 		h.changed = make(chan struct{})
@@ -287,7 +297,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?after=%d&wait_ms=%d&stale=%t", s.address, relayPath, f, after, wait.Milliseconds(), s.acceptsStale))
-	if err := s.relays.client.DoTimeout(req, resp, wait+relayTimeoutMargin); err != nil {
+	margin := relayTimeoutMargin
+	if after == 0 {
+		margin = tableTimeoutMargin
+	}
+	if err := s.relays.client.DoTimeout(req, resp, wait+margin); err != nil {
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: %w", s.address, err)
 	}
 	switch status := resp.StatusCode(); status {
@@ -299,13 +313,74 @@
 	default:
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: status %d", s.address, status)
 	}
-	var response relayResponse
-	if err := json.Unmarshal(resp.Body(), &response); err != nil {
+	response, err := decodeRelayResponse(resp)
+	if err != nil {
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: %w", s.address, err)
 	}
 	return response.Rows, response.At, nil
 }
 
+// decodeRelayResponse decodes the body of a relay's response.
+func decodeRelayResponse(resp *fasthttp.Response) (response relayResponse, err error) {
+	body := resp.Body()
+	if string(resp.Header.ContentEncoding()) == "gzip" {
+		if body, err = decompressTable(body); err != nil {
+			return relayResponse{}, err
+		}
+	}
+	err = json.Unmarshal(body, &response)
+	return response, err
+}
+
+func decompressTable(body []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	table, err := io.ReadAll(io.LimitReader(r, maxRelayResponse+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(table) > maxRelayResponse {
+		return nil, errTooLarge
+	}
+	return table, nil
+}
+
+// compressedTable returns the encoded response to a call for all rows. It is
+// encoded once for all followers; a zone that starts asks for it at the same
+// time. The result must not be changed.
+func (h *history) compressedTable() ([]byte, error) {
+	h.mu.Lock()
+	table := h.table
+	h.mu.Unlock()
+	if table != nil {
+		return table, nil
+	}
+	rows, at, _, _ := h.changesSince(0)
+	encoded, err := json.Marshal(relayResponse{Rows: rows, At: at})
+	if err != nil {
+		return nil, err
+	}
+	var compressed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(encoded); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.position == at {
+		h.table = compressed.Bytes()
+	}
+	return compressed.Bytes(), nil
+}
+
 // handleRelay responds to a follower's call.
 func (g *Gateway) handleRelay(ctx *fasthttp.RequestCtx) {
 	name, found := strings.CutPrefix(string(ctx.Path()), relayPath)
@@ -335,24 +410,16 @@
 		return
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxRelayWait)
-	var rows []platform.Row
-	var at platform.Position
-	complete := true
 	if after == 0 {
-		rows, at = g.waitForTable(h, wait)
-		acceptsStale := string(ctx.QueryArgs().Peek("stale")) == "true"
-		if at.Next == 0 || g.leaving.Load() || !acceptsStale && !g.storeState.isCurrent(time.Now()) {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			return
-		}
-	} else {
-		_, relayed := g.selectSource(0, true)
-		if relayed || g.leaving.Load() || !g.storeState.isCurrent(time.Now()) {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			return
-		}
-		rows, at, complete = g.waitForChanges(h, after, wait)
+		g.serveTable(ctx, h, wait)
+		return
+	}
+	_, relayed := g.selectSource(0, true)
+	if relayed || g.leaving.Load() || !g.storeState.isCurrent(time.Now()) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
 	}
+	rows, at, complete := g.waitForChanges(h, after, wait)
 	if !complete {
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
@@ -369,15 +436,27 @@
 	ctx.SetBody(body)
 }
 
-// waitForTable returns all rows of a feed. If the feed was not read yet, it
-// waits for that; at.Next is 0 if it was still not read then.
-func (g *Gateway) waitForTable(h *history, wait time.Duration) (rows []platform.Row, at platform.Position) {
-	rows, at, changed, _ := h.changesSince(0)
+// serveTable responds to a call for all rows of a feed. If the feed was not read
+// yet, it waits for that.
+func (g *Gateway) serveTable(ctx *fasthttp.RequestCtx, h *history, wait time.Duration) {
+	_, at, changed, _ := h.changesSince(0)
 	if at.Next == 0 {
 		g.waitFor(changed, wait)
-		rows, at, _, _ = h.changesSince(0)
+		_, at, _, _ = h.changesSince(0)
+	}
+	acceptsStale := string(ctx.QueryArgs().Peek("stale")) == "true"
+	if at.Next == 0 || g.leaving.Load() || !acceptsStale && !g.storeState.isCurrent(time.Now()) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
 	}
-	return rows, at
+	table, err := h.compressedTable()
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.SetContentEncoding("gzip")
+	ctx.Response.SetBodyRaw(table)
 }
 
 // waitForChanges returns the rows that changed after a version. It waits for a
