--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/platform"
 )
 
 // Guards against a fleet whose start costs the store a number of calls that
@@ -114,3 +119,53 @@
 	is.Equal(nextFailures(0, true), 2)  // the relay refused: next is the store
 	is.Equal(nextFailures(2, false), 3)
 }
+
+// Guards against a relay whose memory and link fill up when all instances of its
+// zone start at the same time and read its tables.
+func TestTableIsEncodedOnceAndSmall(t *testing.T) {
+	is := is.New(t)
+	h := newHistory()
+	var rows []platform.Row
+	for i := range 3000 {
+		rows = append(rows, platform.Row{Key: fmt.Sprintf("i-%d", i), Version: uint64(i + 1), Value: fmt.Appendf(nil,
+			`{"address":"10.1.0.%d:80","born":1,"info":{"service":"s","zone":"za","capacity":3},"status":{"state":"ready","seq":%d,"cold_left":"0ms"}}`, i%250, i)})
+	}
+	at := platform.Position{Next: 3000, Newest: 3000, Covered: 3000}
+	h.update(time.Now(), rows, at, true)
+	first, err := h.compressedTable()
+	is.NoErr(err)
+	second, err := h.compressedTable()
+	is.NoErr(err)
+	is.True(&first[0] == &second[0])
+	is.True(len(first) < 100_000)
+
+	resp := &fasthttp.Response{}
+	resp.Header.SetContentEncoding("gzip")
+	resp.SetBodyRaw(first)
+	decoded, err := decodeRelayResponse(resp)
+	is.NoErr(err)
+	is.Equal(len(decoded.Rows), 3000)
+	is.Equal(decoded.At, at)
+
+	h.update(time.Now(), []platform.Row{{Key: "i-0", Version: 3001, Deleted: true}}, platform.Position{Next: 3001, Newest: 3001, Covered: 3001}, false)
+	changed, err := h.compressedTable()
+	is.NoErr(err)
+	resp.SetBodyRaw(changed)
+	decoded, err = decodeRelayResponse(resp)
+	is.NoErr(err)
+	is.Equal(len(decoded.Rows), 2999)
+}
+
+// Guards against a compressed response that takes an instance's memory.
+func TestCompressedTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	var compressed bytes.Buffer
+	w := gzip.NewWriter(&compressed)
+	_, err := w.Write(make([]byte, maxRelayResponse+2))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	_, err = decompressTable(compressed.Bytes())
+	is.Equal(err, errTooLarge)
+	_, err = decompressTable([]byte("no gzip"))
+	is.True(err != nil)
+}
