gateway: logs and counters say where a document came from and how late

The lines of a version that becomes active did not tell whether the store or another instance brought it, nor how long others had been known to be ahead; feed_kicked did not name the call that was given up. No decision changes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -679,7 +679,7 @@
 func TestChangeThatAHeldCallMissedIsRead(t *testing.T) {
 	is := is.New(t)
 	f := &feed{table: platform.FeedOperator, progress: newProgress(), history: newHistory(),
-		apply: func(time.Time, []platform.Row, bool) {}}
+		apply: func(time.Time, origin, []platform.Row, bool) {}}
 	src := &scriptedSource{responses: []scriptedResponse{
 		{at: platform.Position{Next: 10}},
 		{at: platform.Position{Next: 15}},
@@ -713,7 +713,7 @@
 	store.Put("servers", "i-1", []byte("{}"))
 	store.Put("servers", "i-2", []byte("{}"))
 	store.Remove("servers", "i-2")
-	apply := func(time.Time, []platform.Row, bool) {}
+	apply := func(time.Time, origin, []platform.Row, bool) {}
 	readAfterRestart := func(src source, peerVersion uint64) *feed {
 		f := &feed{table: platform.FeedRegistry, progress: newProgress(), history: newHistory(), apply: apply}
 		f.progress.recordPeerVersion(peerVersion)
@@ -751,6 +751,8 @@
 	requestedVersions []uint64
 }
 
+func (s *scriptedSource) Name() string { return "script" }
+
 func (s *scriptedSource) Read(ctx context.Context, f platform.Feed) ([]platform.Row, platform.Position, error) {
 	return s.Watch(ctx, f, 0, 0)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -288,6 +288,8 @@
 	acceptsStale bool
 }
 
+func (s *relaySource) Name() string { return s.address }
+
 func (s *relaySource) Read(ctx context.Context, f platform.Feed) ([]platform.Row, platform.Position, error) {
 	return s.Watch(ctx, f, 0, relayStartWait)
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
 )
 
@@ -43,6 +45,30 @@
 	m.increment(fmt.Sprintf(`exchanges_total{service=%q,result=%q}`, service, result))
 }
 
+// countFeedCall counts a call of a feed by its source and outcome.
+func (m *metrics) countFeedCall(feed platform.Feed, relayed, changed bool, err error) {
+	source := "store"
+	if relayed {
+		source = "instance"
+	}
+	result := "unchanged"
+	switch {
+	case errors.Is(err, errPollAbandoned):
+		result = "given_up"
+	case errors.Is(err, platform.ErrHistoryDropped):
+		result = "history_dropped"
+	case errors.Is(err, errStaleResponse):
+		result = "stale"
+	case errors.Is(err, errRelayRefused):
+		result = "refused"
+	case err != nil:
+		result = "failed"
+	case changed:
+		result = "changed"
+	}
+	m.increment(fmt.Sprintf(`feed_calls_total{feed=%q,source=%q,result=%q}`, feed, source, result))
+}
+
 // recordLatency records the time from a request's arrival to its response.
 func (m *metrics) recordLatency(route string, took time.Duration) {
 	m.mu.Lock()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -134,6 +134,8 @@
 
 // source is where a feed is read from: the store, or the relay of the zone.
 type source interface {
+	// Name identifies the source in logs.
+	Name() string
 	Read(ctx context.Context, f platform.Feed) ([]platform.Row, platform.Position, error)
 	Watch(ctx context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error)
 }
@@ -141,7 +143,7 @@
 // feed follows one table of the store. One goroutine uses it.
 type feed struct {
 	table platform.Feed
-	apply func(now time.Time, rows []platform.Row, snapshot bool)
+	apply func(now time.Time, origin origin, rows []platform.Row, snapshot bool)
 	// progress is shared with the heartbeats, history with the responses to
 	// followers.
 	progress *progress
@@ -152,6 +154,13 @@
 	next uint64
 }
 
+// origin says where rows came from, and how late they are known to be.
+type origin struct {
+	source string
+	// behind is how long another instance has been known to be ahead.
+	behind time.Duration
+}
+
 // progress is how far this instance has read a table, and how far others have
 // according to their heartbeats. It is safe for concurrent use.
 type progress struct {
@@ -256,13 +265,15 @@
 		src, relayed := g.selectSource(failures, f.next > 0)
 		changed, err := f.poll(g.ctx, src, failures > 0)
 		now := time.Now()
+		g.metrics.countFeedCall(f.table, relayed, changed, err)
 		switch {
 		case errors.Is(err, errPollAbandoned):
-			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("version", f.next))
+			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("source", src.Name()),
+				telemetry.F("version", f.next), telemetry.F("behind", f.progress.behindFor(now)))
 			failures = nextFailures(failures, relayed)
 		case errors.Is(err, platform.ErrHistoryDropped):
 			f.synced = false
-			telemetry.Event("feed_reset", telemetry.F("feed", f.table), telemetry.F("version", f.next))
+			telemetry.Event("feed_reset", telemetry.F("feed", f.table), telemetry.F("source", src.Name()), telemetry.F("version", f.next))
 			pause(g.ctx, minRetryDelay)
 		case err != nil && relayed:
 			telemetry.Event("relay_failed", telemetry.F("feed", f.table), telemetry.F("error", err))
@@ -318,7 +329,7 @@
 		f.next = at.Next
 		// An engine that is rebuilt meanwhile needs the rows.
 		f.history.update(now, rows, at, snapshot)
-		f.apply(now, rows, snapshot)
+		f.apply(now, origin{src.Name(), f.progress.behindFor(now)}, rows, snapshot)
 		f.progress.advance(at)
 	}
 	if afterFailure && !snapshot && f.progress.isBehind() {
@@ -385,13 +396,13 @@
 
 // applyOperator applies the operator's documents and evacuations. snapshot
 // means that rows is the whole table.
-func (g *Gateway) applyOperator(now time.Time, rows []platform.Row, snapshot bool) {
+func (g *Gateway) applyOperator(now time.Time, from origin, rows []platform.Row, snapshot bool) {
 	evacuated := map[string]bool{}
 	for _, change := range platform.DecodeOperator(rows) {
 		if change.Document == nil && change.Err == nil {
 			evacuated[change.Zone] = change.Evacuated
 		}
-		g.guard("operator_row", func() { g.applyOperatorChange(now, change) })
+		g.guard("operator_row", func() { g.applyOperatorChange(now, from, change) })
 	}
 	if !snapshot {
 		return
@@ -400,16 +411,17 @@
 	g.withEngine(func(e *steer.Engine) { before = e.Evacuated() })
 	for _, zone := range before {
 		if !evacuated[zone] {
-			g.applyOperatorChange(now, platform.OperatorChange{Zone: zone})
+			g.applyOperatorChange(now, from, platform.OperatorChange{Zone: zone})
 		}
 	}
 }
 
 // applyOperatorChange applies one change and logs it.
-func (g *Gateway) applyOperatorChange(now time.Time, change platform.OperatorChange) {
+func (g *Gateway) applyOperatorChange(now time.Time, from origin, change platform.OperatorChange) {
 	if change.Err != nil {
 		g.metrics.increment("documents_refused_total")
-		telemetry.Failure("document_refused", change.Err, telemetry.F("active", g.documentVersion()))
+		telemetry.Failure("document_refused", change.Err, telemetry.F("active", g.documentVersion()),
+			telemetry.F("source", from.source), telemetry.F("row", change.RowVersion))
 		return
 	}
 	changed := false
@@ -420,7 +432,12 @@
 	case changed:
 		g.document.Store(doc)
 		telemetry.Event("document_active", telemetry.F("version", doc.Version),
-			telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)))
+			telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)),
+			telemetry.F("source", from.source), telemetry.F("row", change.RowVersion), telemetry.F("behind", from.behind))
+	case doc.Version < g.documentVersion():
+		g.metrics.increment("documents_older_total")
+		telemetry.Event("document_older", telemetry.F("version", doc.Version), telemetry.F("active", g.documentVersion()),
+			telemetry.F("source", from.source), telemetry.F("row", change.RowVersion))
 	}
 }
 
@@ -429,7 +446,7 @@
 	known := map[steer.TargetID]bool{}
 	g.followFeed(&feed{
 		table: platform.FeedRegistry, progress: g.registryProgress, history: g.relays.histories[platform.FeedRegistry],
-		apply: func(now time.Time, rows []platform.Row, snapshot bool) {
+		apply: func(now time.Time, _ origin, rows []platform.Row, snapshot bool) {
 			g.applyRegistry(now, platform.DecodeRegistry(rows), snapshot, known)
 		},
 	})
