--- /dev/null
+++ b/gateway/feed_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"pistachioford.example/core/presence"
+	"pistachioford.example/pistachioford/platform"
+)
+
+// documentDelay is how long after its acknowledgement a document version may be
+// missing at an instance that reaches the platform: the shortest time among the
+// users' sites.
+const documentDelay = 2 * time.Second
+
+// silentRelay is a relay that accepts calls and never responds.
+type silentRelay struct {
+	heartbeat presence.Heartbeat
+}
+
+// startSilentRelay makes an instance follow a relay that does not respond.
+func (s *site) startSilentRelay(g *Gateway) *silentRelay {
+	s.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	name := "relay"
+	for i := 0; xxhash.Sum64String(name) > xxhash.Sum64String(g.node.Name); i++ {
+		name = fmt.Sprintf("relay-%d", i)
+	}
+	r := &silentRelay{heartbeat: presence.Heartbeat{
+		Name: name, Zone: g.node.Zone, RequestAddr: "127.0.0.1:1", PeerAddr: listener.Addr().String(), Ready: true,
+		MilliCPU: g.node.MilliCPU, LinkMbps: g.node.LinkMbps,
+	}}
+	stop := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			g.handleHeartbeat(heartbeatMessage{own: r.heartbeat})
+			r.heartbeat.Sequence++
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}()
+	s.t.Cleanup(func() { close(stop); <-stopped })
+	return r
+}
+
+// putDocument writes a version of the document and returns the version of its
+// row.
+func (s *site) putDocument(version int) uint64 {
+	s.t.Helper()
+	s.setDocument(version)
+	_, at, err := platform.NewStore(s.store.Address()).Read(s.t.Context(), platform.FeedOperator)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return at.Newest
+}
+
+// waitForDocument waits until an instance uses a version of the document, and
+// returns how long that took.
+func (s *site) waitForDocument(g *Gateway, version uint64) time.Duration {
+	s.t.Helper()
+	began := time.Now()
+	s.waitFor(fmt.Sprintf("document %d", version), func() bool { return g.documentVersion() == version })
+	return time.Since(began)
+}
+
+// Guards against an instance that learns from others of a newer document while
+// it pauses between two calls, and then holds the next call at a relay that
+// does not respond.
+func TestNewerDocumentIsReadAfterASignalBetweenTwoCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	g := s.startInstance("g")
+	s.startSilentRelay(g)
+	elsewhere := presence.Heartbeat{Name: "elsewhere", Zone: "zb", PeerAddr: "127.0.0.1:1"}
+	report := func(version uint64) {
+		elsewhere.Sequence++
+		elsewhere.Document = version
+		g.handleHeartbeat(heartbeatMessage{own: elsewhere})
+	}
+	for version := 2; version <= 5; version++ {
+		report(s.putDocument(version))
+		took := s.waitForDocument(g, uint64(version))
+		t.Logf("version %d active after %v", version, took)
+		is.True(took <= documentDelay)
+	}
+}
