gateway: a feed that is behind others does not wait, whenever it learns so

What callers saw: requests handled by an old version of the document seconds after a newer one was acknowledged (CONFIG).

Cause: a feed learned from a heartbeat that others are ahead, and was to give up its held call by a signal 0.4 s later. The signal was an edge: it was dropped if it came between two calls, in the pause of 0.35 to 1 s after a change, and was sent once for each version only. The next call was held by the same silent relay until its timeout, up to 4.7 s. The same signal also gave up calls that are not held, so that with a slow store and frequent changes the call that would close the gap never ended.

Change: being overdue is a state (the oldest reported version that is not covered, and since when). A feed checks it when it begins to wait, for a held call or in a pause; only a wait is interrupted, a call that is not held goes on. An overdue feed asks the store, without a hold.

TestPeerVersionEndsLostCall now begins a wait first; it checks the same signal.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -108,3 +109,48 @@
 		is.True(took <= documentDelay)
 	}
 }
+
+// slowSource responds to each call after a delay.
+type slowSource struct {
+	scriptedSource
+	delay time.Duration
+}
+
+func (s *slowSource) Watch(ctx context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error) {
+	time.Sleep(s.delay)
+	return s.scriptedSource.Watch(ctx, f, after, wait)
+}
+
+// Guards against a feed that never catches up: while the store is slow and
+// changes are frequent, each newer version that another instance reports gives
+// up the call that would bring the missing ones.
+func TestCallThatClosesAGapIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := &feed{table: platform.FeedOperator, progress: newProgress(), history: newHistory(), next: 10, synced: true,
+		apply: func(time.Time, origin, []platform.Row, bool) {}}
+	src := &slowSource{delay: 2 * propagationTime, scriptedSource: scriptedSource{responses: []scriptedResponse{
+		{rows: []platform.Row{{Key: "config", Version: 12}}, at: platform.Position{Next: 12, Newest: 12, Covered: 12}},
+	}}}
+	f.progress.recordPeerVersion(11)
+	time.Sleep(propagationTime / 2)
+	f.progress.recordPeerVersion(12)
+	changed, err := f.poll(t.Context(), src, true)
+	is.NoErr(err)
+	is.True(changed)
+	is.True(!f.progress.isBehind())
+}
+
+// Guards against a signal that is lost because it comes while no call is in
+// progress.
+func TestOverdueInstanceDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	p := newProgress()
+	p.recordPeerVersion(7)
+	time.Sleep(propagationTime + 50*time.Millisecond)
+	is.True(!p.beginWait())
+	began := time.Now()
+	p.pause(t.Context(), 10*time.Second)
+	is.True(time.Since(began) < time.Second)
+	p.advance(platform.Position{Newest: 7, Covered: 7})
+	is.True(p.beginWait())
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -487,9 +487,10 @@
 	p := newProgress()
 	p.advance(platform.Position{Newest: 5, Covered: 5})
 	p.recordPeerVersion(5)
+	is.True(p.beginWait())
 	p.recordPeerVersion(7)
 	select {
-	case <-p.abandon:
+	case <-p.interrupt:
 	case <-time.After(5 * time.Second):
 		t.Fatal("the held call was not given up")
 	}
@@ -497,7 +498,7 @@
 	p.recordPeerVersion(8)
 	p.recordPeerVersion(9)
 	time.Sleep(propagationTime + 100*time.Millisecond)
-	is.Equal(len(p.abandon), 0)
+	is.Equal(len(p.interrupt), 0)
 }
 
 // Guards against requests that wait until a connection to a far target is open.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -199,6 +199,10 @@
 	return failures
 }
 
+// failuresBeforeStore is a failure count with which the next call goes to the
+// store, which does not hold it.
+const failuresBeforeStore = 2
+
 // selectSource returns where the next call of a feed goes; relayed reports
 // whether that is another instance. failures is 0 after a success, and counted
 // by nextFailures since. hasState means that the feed was read before.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -166,18 +166,31 @@
 type progress struct {
 	mu sync.Mutex
 	// newest is the version of the newest change that was read, covered the one
-	// up to which no change is missing, peerNewest the highest one that another
-	// instance reported.
-	newest, covered, peerNewest uint64
-	// behindSince is when another instance was first found to be ahead; it is
-	// zero if none is.
-	behindSince time.Time
-	// abandon signals that the held call is to be given up. A call is held if
-	// its source responds only once there is a change or the wait is over.
-	abandon chan struct{}
+	// up to which no change is missing.
+	newest, covered uint64
+	// ahead holds the versions that other instances reported and that are not
+	// covered here, in increasing order.
+	ahead []peerVersion
+	// waiting is set while the feed waits: for the response to a held call, or
+	// in a pause. A call is held if its source responds only once there is a
+	// change or the wait is over.
+	waiting bool
+	// interrupt ends the wait.
+	interrupt chan struct{}
 }
 
-func newProgress() *progress { return &progress{abandon: make(chan struct{}, 1)} }
+// peerVersion is a version that another instance reported, and when it first
+// did.
+type peerVersion struct {
+	version    uint64
+	reportedAt time.Time
+}
+
+// maxPeerVersions bounds progress.ahead. Only the oldest and the newest one
+// matter for long.
+const maxPeerVersions = 64
+
+func newProgress() *progress { return &progress{interrupt: make(chan struct{}, 1)} }
 
 // advance records the position after a call.
 func (p *progress) advance(at platform.Position) {
@@ -185,19 +198,24 @@
 	defer p.mu.Unlock()
 	p.newest = max(p.newest, at.Newest)
 	p.covered = max(p.covered, at.Covered)
-	if p.covered >= p.peerNewest {
-		p.behindSince = time.Time{}
+	kept := p.ahead[:0]
+	for _, reported := range p.ahead {
+		if reported.version > p.covered {
+			kept = append(kept, reported)
+		}
 	}
+	p.ahead = kept
 }
 
-// behindFor returns how long another instance has been ahead.
+// behindFor returns how long another instance has been ahead by a change that is
+// not covered here.
 func (p *progress) behindFor(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.behindSince.IsZero() {
+	if len(p.ahead) == 0 {
 		return 0
 	}
-	return now.Sub(p.behindSince)
+	return now.Sub(p.ahead[0].reportedAt)
 }
 
 // isBehind reports whether another instance knows a change that is not covered
@@ -205,15 +223,12 @@
 func (p *progress) isBehind() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.covered < p.peerNewest
+	return len(p.ahead) > 0
 }
 
-// covers reports whether all changes up to a version are known.
-func (p *progress) covers(version uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.covered >= version
-}
+// isOverdue reports whether another instance has been ahead for longer than a
+// change may be on its way.
+func (p *progress) isOverdue(now time.Time) bool { return p.behindFor(now) >= propagationTime }
 
 // newestVersion returns the version that heartbeats report.
 func (p *progress) newestVersion() uint64 {
@@ -223,45 +238,94 @@
 }
 
 // recordPeerVersion records the version that another instance reports. If this
-// instance does not reach it within propagationTime, the held call is treated as
-// lost and is given up.
+// instance does not reach it within propagationTime, a wait of its feed ends.
 func (p *progress) recordPeerVersion(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version <= p.covered || version <= p.peerNewest {
+	if version <= p.covered || len(p.ahead) > 0 && version <= p.ahead[len(p.ahead)-1].version {
 		return
 	}
-	p.peerNewest = version
-	if p.behindSince.IsZero() {
-		p.behindSince = time.Now()
+	if len(p.ahead) == maxPeerVersions {
+		p.ahead[len(p.ahead)-1].version = version
+		return
 	}
-	time.AfterFunc(propagationTime, func() {
-		if !p.covers(version) {
-			p.giveUpCall()
-		}
-	})
+	p.ahead = append(p.ahead, peerVersion{version, time.Now()})
+	time.AfterFunc(propagationTime, p.interruptIfOverdue)
 }
 
-// giveUpCall gives up the call that is in progress, if any.
-func (p *progress) giveUpCall() {
+// interruptIfOverdue ends a wait that another instance's report has made
+// pointless. A call that is not held goes on: it may be the one that closes the
+// gap.
+func (p *progress) interruptIfOverdue() {
+	if !p.isOverdue(time.Now()) {
+		return
+	}
+	p.mu.Lock()
+	waiting := p.waiting
+	p.mu.Unlock()
+	if waiting {
+		p.interruptCall()
+	}
+}
+
+// interruptCall ends the wait of the feed, or the call that is in progress.
+func (p *progress) interruptCall() {
 	select {
-	case p.abandon <- struct{}{}:
+	case p.interrupt <- struct{}{}:
 	default:
 	}
 }
 
-// clearAbandon drops a signal that was meant for an earlier call.
-func (p *progress) clearAbandon() {
+// beginWait returns false if the instance is already overdue. Otherwise it ends
+// the wait as soon as it is; endWait must follow.
+func (p *progress) beginWait() bool {
+	p.mu.Lock()
+	p.waiting = true
+	p.mu.Unlock()
+	if p.isOverdue(time.Now()) {
+		p.endWait()
+		return false
+	}
+	return true
+}
+
+func (p *progress) endWait() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting = false
+}
+
+// clearInterrupt drops a signal that was meant for an earlier call.
+func (p *progress) clearInterrupt() {
 	select {
-	case <-p.abandon:
+	case <-p.interrupt:
 	default:
 	}
 }
 
+// pause waits for d, or until the instance is overdue or ctx is done.
+func (p *progress) pause(ctx context.Context, d time.Duration) {
+	p.clearInterrupt()
+	if !p.beginWait() {
+		return
+	}
+	defer p.endWait()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.interrupt:
+	}
+}
+
 // followFeed reads a feed until the instance stops.
 func (g *Gateway) followFeed(f *feed) {
 	failures := 0
 	for g.ctx.Err() == nil {
+		if failures == 0 && f.progress.isOverdue(time.Now()) {
+			failures = failuresBeforeStore
+		}
 		src, relayed := g.selectSource(failures, f.next > 0)
 		changed, err := f.poll(g.ctx, src, failures > 0)
 		now := time.Now()
@@ -289,11 +353,11 @@
 			if g.storeState.recordSuccess(now) {
 				// A call that the store did not answer while it was lost would
 				// only end by its timeout.
-				g.operatorProgress.giveUpCall()
-				g.registryProgress.giveUpCall()
+				g.operatorProgress.interruptCall()
+				g.registryProgress.interruptCall()
 			}
 			if changed {
-				pause(g.ctx, g.batchDelay(relayed))
+				f.progress.pause(g.ctx, g.batchDelay(relayed))
 			}
 		}
 	}
@@ -359,7 +423,13 @@
 		at   platform.Position
 		err  error
 	}
-	f.progress.clearAbandon()
+	f.progress.clearInterrupt()
+	if synced && !afterFailure {
+		if !f.progress.beginWait() {
+			return nil, platform.Position{}, errPollAbandoned
+		}
+		defer f.progress.endWait()
+	}
 	done := make(chan outcome, 1)
 	go func() {
 		var result outcome
@@ -371,7 +441,7 @@
 	select {
 	case result := <-done:
 		return result.rows, result.at, result.err
-	case <-f.progress.abandon:
+	case <-f.progress.interrupt:
 		return nil, platform.Position{}, errPollAbandoned
 	}
 }
