gateway: a relay that loses the store releases the followers that it holds

What callers saw: an old version of the document at instances that reach the store themselves (CONFIG), while the relay of their zone does not.

Change: a held call ends when the store is lost, with the refusal that a new call gets; the follower then asks the store.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -154,3 +155,27 @@
 	p.advance(platform.Position{Newest: 7, Covered: 7})
 	is.True(p.beginWait())
 }
+
+// Guards against followers that a relay holds though it knows that it has lost
+// the store itself: they could read the changes from the store.
+func TestRelayThatLosesTheStoreReleasesItsFollowers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	link := s.startStoreLink()
+	relay := s.startInstanceAt("relay", 320, 1000, link.listener.Addr().String())
+	_, at, _, _ := relay.relays.histories[platform.FeedOperator].changesSince(0)
+	held := make(chan error, 1)
+	go func() {
+		follower := &relaySource{relays: newRelays(), address: peerAddress(relay.node)}
+		_, _, err := follower.Watch(t.Context(), platform.FeedOperator, at.Next, 3*documentDelay)
+		held <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	link.cut()
+	select {
+	case err := <-held:
+		is.True(errors.Is(err, errRelayRefused))
+	case <-time.After(documentDelay):
+		t.Fatal("the relay still holds its follower")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,7 @@
 	g := &Gateway{
 		node: node, boot: time.Now().UnixNano(), storeClient: platform.NewStore(node.Store),
 		operatorProgress: newProgress(), registryProgress: newProgress(),
-		storeState: &storeState{}, relays: newRelays(), metrics: newMetrics(), pools: newPools(newMemoryBudget(node.MemoryMB)),
+		storeState: newStoreState(), relays: newRelays(), metrics: newMetrics(), pools: newPools(newMemoryBudget(node.MemoryMB)),
 		callers: callerConns{open: map[*callerConn]struct{}{}},
 		failed:  make(chan error, 1), acceptEnded: make(chan struct{}),
 		engine: steer.NewEngine(engineConfig), engineConfig: engineConfig,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -650,7 +650,7 @@
 	is := is.New(t)
 	now := time.Now()
 	lost := func() *storeState {
-		s := &storeState{}
+		s := newStoreState()
 		s.recordSuccess(now)
 		s.recordFailure(now, io.EOF)
 		return s
@@ -664,7 +664,7 @@
 	is.Equal(s.removalGrace(now), time.Duration(0))
 	s.recordSuccess(now.Add(time.Second))
 	is.Equal(s.removalGrace(now.Add(time.Second)), time.Duration(0))
-	s = &storeState{}
+	s = newStoreState()
 	s.markLocalOutage() // no effect: the store is reachable
 	s.recordFailure(now, io.EOF)
 	is.Equal(s.removalGrace(now), expiryGrace)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -420,15 +420,18 @@
 		g.serveTable(ctx, h, wait)
 		return
 	}
-	_, relayed := g.selectSource(0, true)
-	if relayed || g.leaving.Load() || !g.storeState.isCurrent(time.Now()) {
+	if !g.canRelayChanges() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	rows, at, complete := g.waitForChanges(h, after, wait)
-	if !complete {
+	switch {
+	case !complete:
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
+	case len(rows) == 0 && !g.canRelayChanges():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
 	}
 	// The follower may have read from the store before, and be ahead: versions
 	// also grow with changes of other tables.
@@ -442,12 +445,20 @@
 	ctx.SetBody(body)
 }
 
+// canRelayChanges reports whether this instance follows the store itself and
+// reaches it.
+func (g *Gateway) canRelayChanges() bool {
+	_, relayed := g.selectSource(0, true)
+	return !relayed && !g.leaving.Load() && g.storeState.isCurrent(time.Now())
+}
+
 // serveTable responds to a call for all rows of a feed. If the feed was not read
 // yet, it waits for that.
 func (g *Gateway) serveTable(ctx *fasthttp.RequestCtx, h *history, wait time.Duration) {
 	_, at, changed, _ := h.changesSince(0)
 	if at.Next == 0 {
-		g.waitFor(changed, wait)
+		// A relay that starts may lose the store and read it a moment later.
+		g.waitFor(changed, nil, wait)
 		_, at, _, _ = h.changesSince(0)
 	}
 	acceptsStale := string(ctx.QueryArgs().Peek("stale")) == "true"
@@ -466,24 +477,25 @@
 }
 
 // waitForChanges returns the rows that changed after a version. It waits for a
-// change if there is none yet. complete is false if removed rows may be
+// change if there is none yet, unless this instance loses the store. complete is false if removed rows may be
 // missing.
 func (g *Gateway) waitForChanges(h *history, after uint64, wait time.Duration) (rows []platform.Row, at platform.Position, complete bool) {
 	rows, at, changed, complete := h.changesSince(after)
 	if complete && len(rows) == 0 {
-		g.waitFor(changed, wait)
+		g.waitFor(changed, g.storeState.whenLost(), wait)
 		rows, at, _, complete = h.changesSince(after)
 	}
 	return rows, at, complete
 }
 
-// waitFor waits until changed is closed, but no longer than wait or the life of
-// the instance.
-func (g *Gateway) waitFor(changed <-chan struct{}, wait time.Duration) {
+// waitFor waits until changed or lost is closed, but no longer than wait or the
+// life of the instance.
+func (g *Gateway) waitFor(changed, lost <-chan struct{}, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
+	case <-lost:
 	case <-timer.C:
 	case <-g.ctx.Done():
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -58,10 +58,14 @@
 	// disappear meanwhile were then removed and did not expire.
 	localOutage bool
 	down        bool
+	// lost is closed when the store is lost.
+	lost chan struct{}
 	// registryRead is set once the whole registry was read.
 	registryRead bool
 }
 
+func newStoreState() *storeState { return &storeState{lost: make(chan struct{})} }
+
 // recordSuccess records a response of the store or the relay, and returns true
 // if the store was lost before.
 func (s *storeState) recordSuccess(now time.Time) (regained bool) {
@@ -71,7 +75,7 @@
 	if !s.down {
 		return false
 	}
-	s.down = false
+	s.down, s.lost = false, make(chan struct{})
 	if !s.localOutage {
 		s.recoveredAt = now
 	}
@@ -85,6 +89,7 @@
 	s.lastFailure = now
 	if !s.down {
 		s.down, s.localOutage = true, false
+		close(s.lost)
 		telemetry.Failure("store_lost", err)
 	}
 }
@@ -107,6 +112,13 @@
 	return !s.down && now.Sub(s.lastResponse) < storeFreshFor
 }
 
+// whenLost returns a channel that is closed once the store is lost.
+func (s *storeState) whenLost() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // markLocalOutage records that only this instance has lost the store. It does
 // nothing while the store is reachable.
 func (s *storeState) markLocalOutage() {
