gateway: copied heartbeats report newer versions too

In a fleet in which not all instances reach each other directly, most heartbeats arrive as copies, and only the sender's own versions were used: an instance whose zone is behind had to wait for a direct message from another zone, of which each instance sends three in 0.7 s.

Evidence: TestCopiedHeartbeatReportsANewerVersion fails before.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -42,12 +42,8 @@
 			s.t.Cleanup(func() { _ = conn.Close() })
 		}
 	}()
-	name := "relay"
-	for i := 0; xxhash.Sum64String(name) > xxhash.Sum64String(g.node.Name); i++ {
-		name = fmt.Sprintf("relay-%d", i)
-	}
 	r := &silentRelay{heartbeat: presence.Heartbeat{
-		Name: name, Zone: g.node.Zone, RequestAddr: "127.0.0.1:1", PeerAddr: listener.Addr().String(), Ready: true,
+		Name: relayNameFor(g.node.Name), Zone: g.node.Zone, RequestAddr: "127.0.0.1:1", PeerAddr: listener.Addr().String(), Ready: true,
 		MilliCPU: g.node.MilliCPU, LinkMbps: g.node.LinkMbps,
 	}}
 	stop := make(chan struct{})
@@ -68,6 +64,16 @@
 	return r
 }
 
+// relayNameFor returns the name of an instance that is the relay of another one
+// of its size.
+func relayNameFor(follower string) string {
+	name := "relay"
+	for i := 0; xxhash.Sum64String(name) > xxhash.Sum64String(follower); i++ {
+		name = fmt.Sprintf("relay-%d", i)
+	}
+	return name
+}
+
 // putDocument writes a version of the document and returns the version of its
 // row.
 func (s *site) putDocument(version int) uint64 {
@@ -179,3 +185,17 @@
 		t.Fatal("the relay still holds its follower")
 	}
 }
+
+// Guards against an instance that overlooks a newer version which only a copied
+// heartbeat reports.
+func TestCopiedHeartbeatReportsANewerVersion(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	g := s.startInstance("g")
+	g.handleHeartbeat(heartbeatMessage{
+		own:    presence.Heartbeat{Name: "a", Zone: "zb", PeerAddr: "127.0.0.1:1"},
+		others: []presence.Heartbeat{{Name: "b", Zone: "zb", PeerAddr: "127.0.0.1:1", Document: 1 << 40, Registry: 1 << 40}},
+	})
+	is.True(g.operatorProgress.isBehind())
+	is.True(g.registryProgress.isBehind())
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -161,8 +161,10 @@
 // handleHeartbeat applies a heartbeat of another instance and the copies in it.
 func (g *Gateway) handleHeartbeat(message heartbeatMessage) {
 	now := time.Now()
-	g.operatorProgress.recordPeerVersion(message.own.Document)
-	g.registryProgress.recordPeerVersion(message.own.Registry)
+	for _, heartbeat := range append(message.others, message.own) {
+		g.operatorProgress.recordPeerVersion(heartbeat.Document)
+		g.registryProgress.recordPeerVersion(heartbeat.Registry)
+	}
 	g.withEngine(func(e *steer.Engine) {
 		e.RecordBreaks(now, message.breaks)
 		e.RecordObservations(now, message.own.Name, message.observations)
