gateway: a feed that the store cannot bring up to date asks a newer instance

What callers saw: an old version of the document at an instance that the store refuses or does not reach, while the others have the new one (CONFIG). Such an instance asked the store again and again, and knew from heartbeats who had the change.

Change: if a call to the store fails or does not bring what others have had for 0.4 s, the next one reads the whole table from a live instance that reports a newer version, of the own zone if there is one; the two alternate. Such a read says nothing of the store's availability: entries that expire in an outage keep their grace.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -199,3 +199,23 @@
 	is.True(g.operatorProgress.isBehind())
 	is.True(g.registryProgress.isBehind())
 }
+
+// Guards against an instance that asks only the store for a change which other
+// instances have, while the store refuses or does not reach this one.
+func TestInstanceWithoutTheStoreReadsANewerDocumentFromAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	link := s.startStoreLink()
+	cut := s.startInstanceAt(relayNameFor("other"), 320, 1000, link.listener.Addr().String())
+	other := s.startInstance("other")
+	s.waitFor("heartbeats", func() bool { return len(cut.peers.live(time.Now())) == 1 })
+	link.cut()
+	s.waitFor("store outage of one instance", func() bool { return !cut.storeState.isCurrent(time.Now()) })
+	for version := 2; version <= 4; version++ {
+		s.putDocument(version)
+		s.waitForDocument(other, uint64(version))
+		took := s.waitForDocument(cut, uint64(version))
+		t.Logf("version %d active after %v", version, took)
+		is.True(took <= documentDelay)
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -460,7 +460,7 @@
 	s.waitFor("relays", func() bool {
 		followers := 0
 		for _, g := range instances {
-			if _, relayed := g.selectSource(0, true); relayed {
+			if _, relayed := g.selectSource(&feed{next: 1, progress: g.operatorProgress}, 0); relayed {
 				followers++
 			}
 		}
@@ -545,11 +545,11 @@
 	is.True(strings.Contains(body, a.node.Requests) && strings.Contains(body, b.node.Requests))
 	is.True(!strings.Contains(body, weak.node.Requests))
 	is.True(a.isAdvertised() && b.isAdvertised() && !weak.isAdvertised()) // only advertised instances keep standby connections
-	_, relayed := weak.selectSource(0, true)
+	_, relayed := weak.selectSource(&feed{next: 1, progress: weak.operatorProgress}, 0)
 	is.True(relayed) // a weak instance follows a strong one, whatever their names
 	relays := 0
 	for _, g := range []*Gateway{a, b} {
-		if _, relayed := g.selectSource(0, true); !relayed {
+		if _, relayed := g.selectSource(&feed{next: 1, progress: g.operatorProgress}, 0); !relayed {
 			relays++
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -205,18 +205,21 @@
 
 // selectSource returns where the next call of a feed goes; relayed reports
 // whether that is another instance. failures is 0 after a success, and counted
-// by nextFailures since. hasState means that the feed was read before.
-func (g *Gateway) selectSource(failures int, hasState bool) (src source, relayed bool) {
+// by nextFailures since.
+func (g *Gateway) selectSource(f *feed, failures int) (src source, relayed bool) {
 	now := time.Now()
 	live := g.peers.live(now)
 	address, acceptsStale := "", false
 	switch {
-	case !hasState && failures%2 == 1:
+	case failures%2 == 1 && f.next == 0:
 		// The store may be unreachable while this instance starts. Another one
 		// may have lost it as well, but its tables are better than none.
 		address, acceptsStale = readyPeerInZone(g.node.Zone, live), true
-	case failures == 0 && g.relays.isUsable(now):
-		address = relayAddress(g.self(), live)
+	case failures%2 == 1 && f.progress.isBehind():
+		// The store may refuse only this instance, or show it an older state.
+		address, acceptsStale = g.newerPeer(f, live), true
+	case failures == 0:
+		address = g.usableRelay(now, live)
 	}
 	if address == "" {
 		return g.storeClient, false
@@ -224,6 +227,43 @@
 	return &relaySource{relays: g.relays, address: address, acceptsStale: acceptsStale}, true
 }
 
+// usableRelay returns the address of the zone's relay, or an empty string if
+// this instance is the relay or the last call to it failed.
+func (g *Gateway) usableRelay(now time.Time, live []presence.Heartbeat) string {
+	if !g.relays.isUsable(now) {
+		return ""
+	}
+	return relayAddress(g.self(), live)
+}
+
+// newerPeer returns the address of a live instance that knows a change which the
+// feed does not cover, or an empty string. It prefers the own zone. Instances
+// choose different ones, so that none has to serve a whole fleet.
+func (g *Gateway) newerPeer(f *feed, live []presence.Heartbeat) string {
+	var newer []presence.Heartbeat
+	for _, heartbeat := range live {
+		version := heartbeat.Document
+		if f.table == platform.FeedRegistry {
+			version = heartbeat.Registry
+		}
+		if heartbeat.Ready && !f.progress.covers(version) {
+			newer = append(newer, heartbeat)
+		}
+	}
+	if len(newer) == 0 {
+		return ""
+	}
+	isFar := func(h presence.Heartbeat) int {
+		if h.Zone == g.node.Zone {
+			return 0
+		}
+		return 1
+	}
+	return slices.MinFunc(newer, func(a, b presence.Heartbeat) int {
+		return cmp.Or(cmp.Compare(isFar(a), isFar(b)), cmp.Compare(xxhash.Sum64String(g.node.Name+a.Name), xxhash.Sum64String(g.node.Name+b.Name)))
+	}).PeerAddr
+}
+
 // batchDelay returns the pause after a call that returned changes. An instance
 // that calls the store in place of its relay pauses longer: if a relay fails,
 // all instances of its zone do.
@@ -448,8 +488,8 @@
 // canRelayChanges reports whether this instance follows the store itself and
 // reaches it.
 func (g *Gateway) canRelayChanges() bool {
-	_, relayed := g.selectSource(0, true)
-	return !relayed && !g.leaving.Load() && g.storeState.isCurrent(time.Now())
+	now := time.Now()
+	return g.usableRelay(now, g.peers.live(now)) == "" && !g.leaving.Load() && g.storeState.isCurrent(now)
 }
 
 // serveTable responds to a call for all rows of a feed. If the feed was not read
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -242,6 +242,13 @@
 // change may be on its way.
 func (p *progress) isOverdue(now time.Time) bool { return p.behindFor(now) >= propagationTime }
 
+// covers reports whether all changes up to a version are known.
+func (p *progress) covers(version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.covered >= version
+}
+
 // newestVersion returns the version that heartbeats report.
 func (p *progress) newestVersion() uint64 {
 	p.mu.Lock()
@@ -338,7 +345,8 @@
 		if failures == 0 && f.progress.isOverdue(time.Now()) {
 			failures = failuresBeforeStore
 		}
-		src, relayed := g.selectSource(failures, f.next > 0)
+		src, relayed := g.selectSource(f, failures)
+		repairs := f.next > 0 && isAnyInstance(src)
 		changed, err := f.poll(g.ctx, src, failures > 0)
 		now := time.Now()
 		g.metrics.countFeedCall(f.table, relayed, changed, err)
@@ -361,8 +369,9 @@
 			failures = nextFailures(failures, relayed)
 			pause(g.ctx, backoff(failures))
 		default:
-			failures = 0
-			if g.storeState.recordSuccess(now) {
+			failures = f.failuresAfterSuccess(now, failures, relayed)
+			// An instance that is not the relay says nothing of the store.
+			if !repairs && g.storeState.recordSuccess(now) {
 				// A call that the store did not answer while it was lost would
 				// only end by its timeout.
 				g.operatorProgress.interruptCall()
@@ -375,6 +384,22 @@
 	}
 }
 
+// isAnyInstance reports whether a source is an instance that may itself have
+// lost the store.
+func isAnyInstance(src source) bool {
+	instance, ok := src.(*relaySource)
+	return ok && instance.acceptsStale
+}
+
+// failuresAfterSuccess returns the failure count after a call that succeeded. A
+// call that did not bring what others have had for long is treated as failed.
+func (f *feed) failuresAfterSuccess(now time.Time, failures int, relayed bool) int {
+	if failures > 0 && f.progress.isOverdue(now) {
+		return nextFailures(failures, relayed)
+	}
+	return 0
+}
+
 var (
 	// errStaleResponse reports a response that is older than what was read
 	// before.
@@ -388,6 +413,10 @@
 // call failed: the source is then not asked to hold this one, since its loss
 // would go unnoticed.
 func (f *feed) poll(ctx context.Context, src source, afterFailure bool) (changed bool, err error) {
+	if isAnyInstance(src) {
+		// Only the whole table shows what was removed meanwhile.
+		f.synced = false
+	}
 	snapshot := !f.synced
 	rows, at, err := f.fetch(ctx, src, afterFailure)
 	switch {
