gateway: a relay that missed a change is not used again at once

What callers saw: an old version of the document again and again in a zone whose relay does not respond (CONFIG).

Cause: an instance that gave up a call to its relay, since others were ahead, read the change from the store and returned to the same relay, where the next change had to be missed first as well. Without a report of another instance it came with the timeout of the held call.

Change: a relayed call that is given up while the instance is overdue counts as failed; for relayRetryDelay the instance follows the store.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -219,3 +219,20 @@
 		is.True(took <= documentDelay)
 	}
 }
+
+// Guards against an instance that returns to a relay which has just missed a
+// change: it would learn of each further change late again.
+func TestRelayThatMissedAChangeIsNotUsedForAWhile(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	g := s.startInstance("g")
+	relay := s.startSilentRelay(g)
+	s.waitFor("relay", func() bool { return relayAddress(g.self(), g.peers.live(time.Now())) == relay.heartbeat.PeerAddr })
+	g.handleHeartbeat(heartbeatMessage{own: presence.Heartbeat{
+		Name: "elsewhere", Zone: "zb", PeerAddr: "127.0.0.1:1", Sequence: 1, Document: s.putDocument(2),
+	}})
+	s.waitForDocument(g, 2)
+	// No instance reports the next version.
+	s.putDocument(3)
+	is.True(s.waitForDocument(g, 3) <= documentDelay)
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -354,6 +354,9 @@
 		case errors.Is(err, errPollAbandoned):
 			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("source", src.Name()),
 				telemetry.F("version", f.next), telemetry.F("behind", f.progress.behindFor(now)))
+			if relayed && f.progress.isOverdue(now) {
+				g.relays.recordFailure(now, err)
+			}
 			failures = nextFailures(failures, relayed)
 		case errors.Is(err, platform.ErrHistoryDropped):
 			f.synced = false
