gateway: a rebuilt engine keeps the active document

What callers saw: after a panic in the engine, requests steered without the document's warm-up and cold rates, and an older document would have been accepted (CONFIG).

Cause: the engine is rebuilt from the rows of the feed. The newest row of the document may be one that was refused.

Change: the active document comes first, the rows after it.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -60,6 +60,10 @@
 // restart. It is called with mu held.
 func (g *Gateway) rebuildEngine(now time.Time) {
 	g.engine = steer.NewEngine(g.engineConfig)
+	if doc := g.document.Load(); doc != nil {
+		// The newest row may hold a document that was refused.
+		g.engine.SetDocument(doc)
+	}
 	operatorRows, _, _, _ := g.relays.histories[platform.FeedOperator].changesSince(0)
 	for _, row := range operatorRows {
 		g.guard("rebuild", func() {
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -95,6 +95,24 @@
 	s.waitFor("the next document", func() bool { return g.document.Load().Version == 9 })
 }
 
+// Guards against an engine that is rebuilt without a document because the newest
+// row of the feed was refused, and would then take an older one.
+func TestRebuiltEngineKeepsTheActiveDocument(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	g := s.startInstance("g")
+	s.setDocument(4)
+	s.waitForDocument(g, 4)
+	s.store.Put("op", "config", []byte(`{"version":"r5","resources":null}`))
+	s.waitFor("refusal", func() bool { return g.metrics.value("documents_refused_total") == 1 })
+	breakEngine(g)
+	g.guard("test", func() { g.withEngine(func(e *steer.Engine) { e.Evacuate(time.Now(), "zb", true) }) })
+	g.withEngine(func(e *steer.Engine) {
+		is.True(e.Document() != nil)
+		is.Equal(e.Document().Version, uint64(4))
+	})
+}
+
 // Guards against connections that a planned stop accepts and then resets: every
 // caller whose connection was accepted gets a response.
 //
