steer: shares of the limit that a target names for all instances

Cause: nobody read the header.

Change: statements of targets are kept by the target's id, passed on in heartbeats with their age, and the newest holds. Each instance gets a share of the limit in proportion to its demand, which heartbeats report while limits are in force. What exceeds it goes to another target or is refused at once (reason held_back).

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -14,6 +14,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"pistachioford.example/core/steer"
 )
 
 const (
@@ -53,6 +55,9 @@
 	zoneMessagesWithCopies = 2
 	// maxCopyAge is the age up to which a heartbeat is passed on.
 	maxCopyAge = 2 * Interval
+	// demandTTL is how long the demands of a silent instance count. It may be
+	// cut off and go on with its share of the targets' limits.
+	demandTTL = 10 * time.Second
 	// removeAfter is how long after its last heartbeat an instance is removed.
 	// Instances from which no heartbeat was ever received stay.
 	removeAfter = 30 * time.Second
@@ -85,6 +90,10 @@
 	// instance.
 	Document uint64
 	Registry uint64
+	// Demands are the instance's demands for targets that name limits, if
+	// ReportsDemands is set.
+	ReportsDemands bool
+	Demands        []steer.Demand
 }
 
 // newer reports whether b was sent after o.
@@ -121,6 +130,9 @@
 	// Advertised is set if lookups return the instance.
 	Advertised         bool
 	Document, Registry uint64
+	// Demands are as in Heartbeat.
+	ReportsDemands bool
+	Demands        []steer.Demand
 }
 
 func (t *Table) isLive(now time.Time, m *member) bool {
@@ -140,6 +152,7 @@
 	// Pulses to all others of a crowded zone would cost too much.
 	t.self.SendsPulses = s.Advertised && !t.crowded
 	t.self.Document, t.self.Registry = s.Document, s.Registry
+	t.self.ReportsDemands, t.self.Demands = s.ReportsDemands, s.Demands
 }
 
 // Self returns the newest heartbeat of this instance.
@@ -320,6 +333,22 @@
 	return live
 }
 
+// Demands returns what the other instances report of their demands. regions maps
+// zones to their regions. Instances that are leaving have none any more; silent
+// ones keep theirs for demandTTL.
+func (t *Table) Demands(now time.Time, regions map[string]string) []steer.PeerDemand {
+	var demands []steer.PeerDemand
+	for _, m := range t.sortedMembers() {
+		if m.Leaving || m.receivedAt.IsZero() || now.Sub(m.receivedAt) > demandTTL {
+			continue
+		}
+		demands = append(demands, steer.PeerDemand{
+			Name: m.Name, Region: regions[m.Zone], Reported: m.ReportsDemands, Demands: m.Demands,
+		})
+	}
+	return demands
+}
+
 // KnownInZone returns the number of other known instances of the own zone, live
 // or not.
 func (t *Table) KnownInZone() int {
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -48,6 +48,13 @@
 	// congestion is the moving average, for each service, of the fraction of
 	// arrivals that would get a late response because of a queue.
 	congestion map[string]float64
+	// notices holds what targets stated, by their ids.
+	notices       map[TargetID]*notice
+	noticeChanges []NoticeChange
+	// demands are the requests per second of this instance, peerDemands those
+	// that other instances reported.
+	demands     map[demandGroup]*eventRate
+	peerDemands []peerDemand
 	// credits holds the state of the smooth weighted round robin of each split
 	// route.
 	credits map[string][]int
@@ -73,6 +80,8 @@
 		spills:        map[string]*regionSpill{},
 		congestion:    map[string]float64{},
 		credits:       map[string][]int{},
+		notices:       map[TargetID]*notice{},
+		demands:       map[demandGroup]*eventRate{},
 	}
 }
 
@@ -160,6 +169,7 @@
 		e.byService[r.Service] = append(e.byService[r.Service], t)
 	}
 	t.Record, t.region, t.locality = r, region, e.localityOf(r, region)
+	t.notice = e.noticeOf(now, r)
 	t.expiresAt = time.Time{}
 	if r.ColdRemaining > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(r.ColdRemaining))
@@ -179,7 +189,7 @@
 
 // Tick does the periodic work: it adjusts the fraction of objects with homes in
 // other regions, removes expired targets without requests in flight, and
-// expires crash suspects.
+// expires crash suspects and notices.
 func (e *Engine) Tick(now time.Time) {
 	e.adjustSpills(now)
 	for id, t := range e.targets {
@@ -188,6 +198,7 @@
 		}
 	}
 	e.suspects.expire(now)
+	e.expireNotices(now)
 }
 
 func (e *Engine) removeTarget(id TargetID) {
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -51,6 +51,9 @@
 // choice is a target with the estimated cost of a request to it.
 type choice struct {
 	target *target
+	// home is the home target of the request's object, or target if the request
+	// has no object.
+	home *target
 	// rank is the target's candidate rank, maxCandidates if it is not a
 	// candidate of the object.
 	rank int
@@ -84,6 +87,7 @@
 			best = c
 		}
 	}
+	best.home = candidates[0]
 	if best.target != nil {
 		return best
 	}
@@ -93,10 +97,13 @@
 			continue
 		}
 		if c := e.estimate(now, r, params, t, candidates[0]); c.cost < best.cost {
-			c.rank = len(candidates)
+			c.rank, c.home = len(candidates), candidates[0]
 			best = c
 		}
 	}
+	if best.home == nil {
+		best.home = best.target
+	}
 	return best
 }
 
@@ -118,7 +125,7 @@
 	if !e.inService(now, t) || !r.allows(t.region) || r.hasTried(t.ID) {
 		return false
 	}
-	if !t.health.usable(now, probeEarly) {
+	if !t.health.usable(now, probeEarly) || !e.withinLimit(now, t) {
 		return false
 	}
 	return !t.isCold(now) || e.sendsToColdTarget(t) && t.coldBucket.ready(now, e.senderRateOf(t))
@@ -142,11 +149,12 @@
 // weighted: the probability that a target is the home of an object is
 // proportional to its weight.
 func (e *Engine) rankCandidates(now time.Time, r *Request, params *placementParams, targets []*target) (candidates [maxCandidates]*target, total groupLoad) {
-	// Targets of one locality have the same weight, so that the larger hash
-	// ranks first and only the top few need a score.
-	var top [localityCount][maxCandidates]candidate
+	// Targets of one locality and weight class have the same weight, so that the
+	// larger hash ranks first and only the top few need a score.
+	var top [localityCount][weightClasses][maxCandidates]candidate
+	classes := 1
 	for _, t := range targets {
-		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) {
+		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) || !e.sharesLimit(now, t) {
 			continue
 		}
 		total.add(t.load(now), t.Slots)
@@ -154,7 +162,9 @@
 			continue
 		}
 		c := candidate{t, mix(r.Object, t.hash)}
-		best := &top[t.locality]
+		class := e.weightClassOf(now, t)
+		classes = max(classes, class+1)
+		best := &top[t.locality][class]
 		for rank := range best {
 			if best[rank].target == nil || c.hash > best[rank].hash {
 				best[rank], c = c, best[rank]
@@ -162,13 +172,16 @@
 		}
 	}
 	scores := [maxCandidates]float64{math.Inf(1), math.Inf(1)}
-	for locality, best := range top {
-		for _, c := range best {
-			if c.target == nil {
-				continue
+	for locality := range top {
+		for class := range classes {
+			weight := params.homeWeights[locality] * classWeights[class]
+			for _, c := range top[locality][class] {
+				if c.target == nil {
+					continue
+				}
+				uniform := (float64(c.hash) + 1) / math.MaxUint64
+				insertByScore(&candidates, &scores, c.target, -math.Log(uniform)/weight)
 			}
-			uniform := (float64(c.hash) + 1) / math.MaxUint64
-			insertByScore(&candidates, &scores, c.target, -math.Log(uniform)/params.homeWeights[locality])
 		}
 	}
 	return candidates, total
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -100,10 +100,14 @@
 	// ReasonCallerDisconnected means that the caller disconnected before the
 	// response.
 	ReasonCallerDisconnected
+	// ReasonHeldBack means that the targets which could take the request have
+	// named a limit.
+	ReasonHeldBack
 )
 
 var reasonNames = [...]string{
 	"none", "no_target", "too_late", "crasher", "shed", "unreachable", "broken", "timeout", "caller_gone",
+	"held_back",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
@@ -147,7 +151,13 @@
 func (e *Engine) dispatch(now time.Time, r *Request) (Send, *Refusal) {
 	c := e.choose(now, r)
 	t := c.target
+	if c.home != nil && r.sendCount == 0 {
+		e.recordDemand(now, c.home)
+	}
 	if t == nil {
+		if wait, heldBack := e.heldBack(now, r); heldBack {
+			return Send{}, &Refusal{Reason: ReasonHeldBack, RetryAfter: wait}
+		}
 		return Send{}, &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter}
 	}
 	if !e.admits(now, r, c.queueWait, c.responseTime) {
@@ -174,6 +184,9 @@
 	if t.isCold(now) {
 		t.coldBucket.take()
 	}
+	if t.notice.limit > 0 {
+		t.notice.share.tokens--
+	}
 	t.inFlight++
 	t.health.recordSend()
 	r.tried = append(r.tried, t.ID)
@@ -222,6 +235,9 @@
 	Result Result
 	// Load is the load that the target reported with its response, or nil.
 	Load *Load
+	// Notice is what the target stated with its response, nil if there was no
+	// response or RecordNotice was called for it.
+	Notice *Notice
 	// ColdRemaining is how much longer the target stays cold, if it reported
 	// that.
 	ColdRemaining time.Duration
@@ -269,6 +285,9 @@
 		// to.
 		t.recordReport(now, report.Load.Running+report.Load.Waiting, inFlight)
 	}
+	if report.Notice != nil {
+		e.RecordNotice(now, s, *report.Notice)
+	}
 	if report.ColdRemaining > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(report.ColdRemaining))
 	}
--- a/core/steer/share.go
+++ b/core/steer/share.go
@@ -36,6 +36,11 @@
 	Load int
 	// Down is set if the target does not respond to the instance.
 	Down bool
+	// Limit is the limit that the target names, or NoLimit. 0 says nothing of
+	// it; otherwise Load and Down say nothing.
+	Limit float64
+	// LimitAge is how long ago the target stated its limit, or none.
+	LimitAge time.Duration
 }
 
 // downReport is the newest report of an instance that a target is down.
@@ -76,6 +81,8 @@
 		t := e.byHash[o.Target]
 		switch {
 		case t == nil:
+		case o.Limit != 0:
+			e.recordSharedNotice(now, t, o)
 		case o.Down:
 			t.recordDownReport(now, reporter)
 		case now.Sub(t.reportedAt) >= maxSharedLoadAge:
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -73,12 +73,14 @@
 	// expiresAt is when the target goes out of use. It is set once the registry
 	// no longer lists the target.
 	expiresAt time.Time
+	// notice is what the target stated in its responses.
+	notice *notice
 	// misdirected is set once another target responded at the address.
 	misdirected bool
 }
 
 func newTarget(r Record) *target {
-	return &target{Record: r, hash: xxhash.Sum64String(string(r.ID)), slowdown: 1}
+	return &target{Record: r, hash: xxhash.Sum64String(string(r.ID)), slowdown: 1, notice: &notice{}}
 }
 
 // load returns the estimated number of requests that run or wait at the target.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -303,6 +303,10 @@
 		ColdRemaining: platform.ParseColdRemaining(resp.header.Peek(platform.HeaderColdRemaining)),
 	}
 	status := resp.header.StatusCode()
+	if status != fasthttp.StatusMisdirectedRequest {
+		// Otherwise another target responded.
+		report.Notice = noticeOf(resp)
+	}
 	switch {
 	case status == fasthttp.StatusMisdirectedRequest:
 		report.Result = steer.Misdirected
@@ -315,3 +319,8 @@
 	}
 	return report
 }
+
+// noticeOf returns what the target states of itself in a response.
+func noticeOf(resp *response) *steer.Notice {
+	return &steer.Notice{Limit: platform.ParseLimit(resp.header.Peek(platform.HeaderLimit))}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,7 +203,14 @@
 			return
 		case now := <-ticker.C:
 			g.pools.sweep(now)
-			g.guard("tick", func() { g.withEngine(func(e *steer.Engine) { e.Tick(now) }) })
+			var changes []steer.NoticeChange
+			g.guard("tick", func() {
+				g.withEngine(func(e *steer.Engine) {
+					e.Tick(now)
+					changes = e.TakeNoticeChanges()
+				})
+			})
+			g.logNotices(changes)
 		}
 	}
 }
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -37,6 +39,19 @@
 	fieldTarget protowire.Number = iota + 1
 	fieldLoad
 	fieldDown
+	fieldLimit
+	fieldLimitAge
+)
+
+const (
+	// A limit is sent in hundredths of a request per second, plus one; 1 is the
+	// end of a limit.
+	limitUnit = 0.01
+	// limitAgeUnit is the unit of the age of a limit.
+	limitAgeUnit = 100 * time.Millisecond
+	// maxLimit bounds a received limit, maxLimitAge its age.
+	maxLimit    = 1e9
+	maxLimitAge = time.Hour
 )
 
 // breakBytes is the length of an encoded break: two fixed 64-bit numbers.
@@ -55,14 +70,24 @@
 	fieldRegistry
 	fieldMilliCPU
 	fieldLinkMbps
+	fieldDemand
 )
 
 const (
 	flagReady = 1 << iota
 	flagLeaving
 	flagSendsPulses
+	flagReportsDemands
+)
+
+// Fields of a demand. The rate is in tenths of a request per second.
+const (
+	fieldDemandGroup protowire.Number = iota + 1
+	fieldDemandRate
 )
 
+const demandRateUnit = 0.1
+
 func encodeHeartbeatMessage(h heartbeatMessage) []byte {
 	message := appendHeartbeat(nil, fieldOwn, h.own)
 	for _, heartbeat := range h.others {
@@ -100,6 +125,17 @@
 	if b.SendsPulses {
 		flags |= flagSendsPulses
 	}
+	if b.ReportsDemands {
+		flags |= flagReportsDemands
+	}
+	for _, d := range b.Demands {
+		demand := protowire.AppendTag(nil, fieldDemandGroup, protowire.Fixed32Type)
+		demand = protowire.AppendFixed32(demand, d.Group)
+		demand = protowire.AppendTag(demand, fieldDemandRate, protowire.VarintType)
+		demand = protowire.AppendVarint(demand, uint64(math.Round(d.PerSecond/demandRateUnit)))
+		body = protowire.AppendTag(body, fieldDemand, protowire.BytesType)
+		body = protowire.AppendBytes(body, demand)
+	}
 	for number, value := range map[protowire.Number]uint64{
 		fieldBoot: uint64(b.Boot), fieldSequence: b.Sequence, fieldFlags: flags,
 		fieldDocument: b.Document, fieldRegistry: b.Registry,
@@ -164,10 +200,25 @@
 		dst = protowire.AppendTag(dst, fieldDown, protowire.VarintType)
 		return protowire.AppendVarint(dst, 1)
 	}
+	if o.Limit != 0 {
+		return appendNotice(dst, o)
+	}
 	dst = protowire.AppendTag(dst, fieldLoad, protowire.VarintType)
 	return protowire.AppendVarint(dst, uint64(o.Load))
 }
 
+// appendNotice encodes what the target of an observation stated.
+func appendNotice(dst []byte, o steer.Observation) []byte {
+	limit := uint64(1)
+	if o.Limit > 0 {
+		limit += uint64(max(math.Round(o.Limit/limitUnit), 1))
+	}
+	dst = protowire.AppendTag(dst, fieldLimit, protowire.VarintType)
+	dst = protowire.AppendVarint(dst, limit)
+	dst = protowire.AppendTag(dst, fieldLimitAge, protowire.VarintType)
+	return protowire.AppendVarint(dst, uint64(o.LimitAge/limitAgeUnit))
+}
+
 // maxLoad limits a received load; the real queues of targets are far shorter.
 const maxLoad = 1 << 16
 
@@ -199,6 +250,13 @@
 			o.Load = int(min(value, maxLoad))
 		case fieldDown:
 			o.Down = value != 0
+		case fieldLimit:
+			o.Limit = float64(min(value, maxLimit)-1) * limitUnit
+			if value <= 1 {
+				o.Limit = steer.NoLimit
+			}
+		case fieldLimitAge:
+			o.LimitAge = time.Duration(min(value, uint64(maxLimitAge/limitAgeUnit))) * limitAgeUnit
 		}
 	}
 	return o, nil
@@ -284,10 +342,38 @@
 		b.RequestAddr, err = unpackAddress(value)
 	case fieldPeerAddr:
 		b.PeerAddr, err = unpackAddress(value)
+	case fieldDemand:
+		var d steer.Demand
+		d, err = decodeDemand(value)
+		b.Demands = append(b.Demands, d)
 	}
 	return err
 }
 
+// maxDemand limits a received demand, in requests per second.
+const maxDemand = 1e6
+
+func decodeDemand(body []byte) (steer.Demand, error) {
+	number, kind, n := protowire.ConsumeTag(body)
+	if n < 0 || number != fieldDemandGroup || kind != protowire.Fixed32Type {
+		return steer.Demand{}, errMalformedHeartbeat
+	}
+	group, m := protowire.ConsumeFixed32(body[n:])
+	if m < 0 {
+		return steer.Demand{}, errMalformedHeartbeat
+	}
+	body = body[n+m:]
+	number, kind, n = protowire.ConsumeTag(body)
+	if n < 0 || number != fieldDemandRate || kind != protowire.VarintType {
+		return steer.Demand{}, errMalformedHeartbeat
+	}
+	rate, m := protowire.ConsumeVarint(body[n:])
+	if m < 0 {
+		return steer.Demand{}, errMalformedHeartbeat
+	}
+	return steer.Demand{Group: group, PerSecond: float64(min(rate, maxDemand/demandRateUnit)) * demandRateUnit}, nil
+}
+
 // maxMachineSize limits a received processor share, in thousandths of a core, or
 // link bandwidth, in Mbit/s.
 const maxMachineSize = 1 << 30
@@ -302,6 +388,7 @@
 		b.Ready = value&flagReady != 0
 		b.Leaving = value&flagLeaving != 0
 		b.SendsPulses = value&flagSendsPulses != 0
+		b.ReportsDemands = value&flagReportsDemands != 0
 	case fieldDocument:
 		b.Document = value
 	case fieldRegistry:
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -76,15 +77,16 @@
 }
 
 // send sends a heartbeat to the instances that the table selects.
-func (p *peers) send(now time.Time, state presence.State, breaks []steer.BrokenExchange, observations []steer.Observation) {
+// Only those of its zone get the loads of targets.
+func (p *peers) send(now time.Time, state presence.State, breaks []steer.BrokenExchange, loads, notices []steer.Observation) {
 	p.mu.Lock()
 	p.table.SetState(state)
 	own, deliveries := p.table.NextHeartbeat(now)
 	p.mu.Unlock()
 	for _, delivery := range deliveries {
-		message := heartbeatMessage{own: own, others: delivery.Copies, breaks: breaks}
+		message := heartbeatMessage{own: own, others: delivery.Copies, breaks: breaks, observations: notices}
 		if delivery.SameZone {
-			message.observations = observations
+			message.observations = slices.Concat(notices, loads)
 		}
 		p.write(delivery.To, message)
 	}
@@ -210,6 +212,12 @@
 	return f
 }
 
+func (p *peers) demands(now time.Time, regions map[string]string) []steer.PeerDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Demands(now, regions)
+}
+
 func (p *peers) live(now time.Time) []presence.Heartbeat {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -221,14 +229,20 @@
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
 	var breaks []steer.BrokenExchange
-	var observations []steer.Observation
-	g.guard("observations", func() {
-		g.withEngine(func(e *steer.Engine) { breaks, observations = e.RecentBreaks(now), e.Observations(now) })
-	})
-	g.peers.send(now, presence.State{
+	var loads, notices []steer.Observation
+	state := presence.State{
 		Ready: g.ready(), Leaving: g.leaving.Load(), Advertised: g.isAdvertised(),
 		Document: g.operatorProgress.newestVersion(), Registry: g.registryProgress.newestVersion(),
-	}, breaks, observations)
+	}
+	g.guard("observations", func() {
+		g.withEngine(func(e *steer.Engine) {
+			breaks, loads, notices = e.RecentBreaks(now), e.Observations(now), e.SharedNotices(now)
+			state.Demands, state.ReportsDemands = e.Demands(now)
+		})
+	})
+	g.peers.send(now, state, breaks, loads, notices)
+	demands := g.peers.demands(now, g.node.Zones)
+	g.guard("demands", func() { g.withEngine(func(e *steer.Engine) { e.SetPeerDemands(demands) }) })
 	fleet := g.peers.fleet(now)
 	if fleet.live == 0 && fleet.known > 0 || g.registryProgress.behindFor(now) > localOutageAfter {
 		g.storeState.markLocalOutage()
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -55,7 +55,7 @@
 				defer ticker.Stop()
 				for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
 					<-ticker.C
-					c.do("GET", "/read/1", "", fmt.Sprintf("Cookie: X-Affinity-Key=%d-%d", i, n%7))
+					c.do("GET", "/read/1", "", fmt.Sprintf("Cookie: X-Affinity-Key=%d-%d", i, n%97))
 				}
 			})
 		}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -124,6 +124,15 @@
 		telemetry.F("status", status))
 }
 
+// logNotices counts and logs what targets stated.
+func (g *Gateway) logNotices(changes []steer.NoticeChange) {
+	for _, change := range changes {
+		g.metrics.increment("target_notices_total")
+		telemetry.Event("target_notice", telemetry.F("target", change.Target), telemetry.F("limit", change.Limit),
+			telemetry.F("reported", change.Reported))
+	}
+}
+
 // logExchange logs an exchange that ended with any result but steer.Responded.
 // retried reports whether the request is sent again.
 func (g *Gateway) logExchange(r *request, s *steer.Send, out *outcome, retried bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,6 +27,11 @@
 // exchange ends when the body does, and cannot be retried.
 func (g *Gateway) streamedReply(r *request, c *callerConn, send *steer.Send, out *outcome) *reply {
 	r.ResponseStarted = true
+	if out.Notice != nil {
+		// The end of the response may be far off.
+		g.withEngine(func(e *steer.Engine) { e.RecordNotice(time.Now(), send, *out.Notice) })
+		out.Notice = nil
+	}
 	return &reply{response: out.response, streamed: func(err error) {
 		c.detach()
 		out.response.finish(err == nil)
