--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -340,6 +340,15 @@
 	return id
 }
 
+// closeAll closes all connections of callers, as the end of the process does.
+func (c *callerConns) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		_ = conn.Close()
+	}
+}
+
 // callerResponse is a response as it arrived at a caller.
 type callerResponse struct {
 	status int
