gateway: a planned stop does not begin requests that it may cut off

What callers saw: in a planned stop in calm, requests that came late in the grace time were passed on and then cut off with the process, among them orders whose outcome their callers never learned (LOST).

Cause: a drain ends the listener after 2.5 s, but a connection accepted just before keeps 1 s for its first request. That request was taken whatever its timeout, and the process ends 0.5 s before the grace time does.

Change: once callers have had time to move (2.5 s), a request is taken only if its deadline lies before the end of the drain; any other is refused at once with 503 (reason draining), true to what that promises. Earlier requests are taken as before, since their callers may know no other instance yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 
 	document atomic.Pointer[steer.Document]
 	leaving  atomic.Bool
+	// drain is set during a planned stop.
+	drain atomic.Pointer[steer.DrainPlan]
 
 	// acceptEnded is closed when acceptCallers returns.
 	acceptEnded chan struct{}
@@ -259,16 +261,18 @@
 )
 
 // Drain takes the instance out of service: lookups stop returning it, while
-// requests that still arrive are served. Drain returns once no caller's
+// requests that still arrive are served, at the end only those that can be
+// served in time. Drain returns once no caller's
 // connection is open, at the latest shortly before the platform's grace period
 // ends.
 func (g *Gateway) Drain() {
 	began := time.Now()
+	end := began.Add(g.node.Bounds.Grace - drainMargin)
+	g.drain.Store(&steer.DrainPlan{RedirectedAt: began.Add(minDrainTime), EndsAt: end})
 	g.leaving.Store(true)
 	telemetry.Event("leaving", telemetry.F("instance", g.node.Name))
 	g.sendHeartbeat()
 	g.background("leave", g.removeMember)
-	end := began.Add(g.node.Bounds.Grace - drainMargin)
 	pause(g.ctx, min(minDrainTime, time.Until(end)))
 	g.stopAccepting()
 	for time.Now().Before(end) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -145,6 +145,11 @@
 	return p
 }
 
+// reasonDraining is the reason why an instance refuses a request that it may have
+// to cut off at the end of its planned stop. The caller may try another instance
+// at once.
+const reasonDraining = "draining"
+
 // reasonPanic is logged for a request whose handling panicked.
 const reasonPanic = "panic"
 
@@ -157,6 +162,10 @@
 		return refused
 	}
 	r.prepare(route)
+	if plan := g.drain.Load(); plan != nil && !plan.Accepts(time.Now(), r.Deadline) {
+		g.logRefused(r, fasthttp.StatusServiceUnavailable, reasonDraining)
+		return gatewayReply(fasthttp.StatusServiceUnavailable, reasonDraining, 0)
+	}
 	send, refusal := g.chooseTarget(r)
 	if refusal != nil {
 		return g.refuse(r, refusal)
