steer: a target's Retry-After is kept

Change: the target is no candidate until the time is over, the last end of several holds, and objects go to their next candidates. If it is the only one, callers are refused at once (held_back) with the time until the first pause ends.

--- a/core/steer/limit.go
+++ b/core/steer/limit.go
@@ -333,7 +333,7 @@
 }
 
 // heldBack reports whether targets could serve the request if they had not
-// named a limit, and when the first of them takes requests
+// named a limit or asked for a pause, and when the first of them takes requests
 // again.
 func (e *Engine) heldBack(now time.Time, r *Request) (time.Duration, bool) {
 	wait, found := maxHeldBackRetryAfter, false
@@ -341,18 +341,21 @@
 		if !e.inService(now, t) || !r.allows(t.region) || r.hasTried(t.ID) || !t.health.usable(now, true) || t.isCold(now) {
 			continue
 		}
-		if t.notice.limit == 0 {
-			continue
-		}
-		found = true
-		share := e.shareOf(now, t)
-		if rate := t.notice.limit * limitFraction * share.fraction; rate > 0 {
-			wait = min(wait, time.Duration(max(1-share.tokens, 0)/rate*float64(time.Second)))
+		n := t.notice
+		switch {
+		case n.isPaused(now):
+			found, wait = true, min(wait, n.pausedUntil.Sub(now))
+		case n.limit > 0:
+			found = true
+			share := e.shareOf(now, t)
+			if rate := n.limit * limitFraction * share.fraction; rate > 0 {
+				wait = min(wait, time.Duration(max(1-share.tokens, 0)/rate*float64(time.Second)))
+			}
 		}
 	}
 	return max(wait, busyRetryAfter), found
 }
 
-// maxHeldBackRetryAfter limits the RetryAfter of a refusal because of limits.
-// Another target may take the request earlier.
+// maxHeldBackRetryAfter limits the RetryAfter of a refusal because of limits and
+// pauses. Another target may take the request earlier.
 const maxHeldBackRetryAfter = 2 * time.Second
--- a/core/steer/notice.go
+++ b/core/steer/notice.go
@@ -7,7 +7,7 @@
 )
 
 // A target states in its responses what it wants of the instances: that they
-// send it nothing more, or only so many requests a second.
+// send it nothing more, nothing for a while, or only so many requests a second.
 // It need not be in trouble by any measurement made here, and the registry may
 // not say so yet. Notices are kept by the id of the target, apart from the
 // entries of the registry: an entry that expires and returns while the target
@@ -17,6 +17,8 @@
 type Notice struct {
 	// Leaving is set if the target is about to stop. That is final for its boot.
 	Leaving bool
+	// RetryAfter is how long this instance shall send nothing to the target.
+	RetryAfter time.Duration
 	// Limit is the number of requests per second that the target takes from all
 	// instances together, 0 if it names none.
 	Limit float64
@@ -43,6 +45,8 @@
 	Leaving bool
 	// Limit is 0 if the target names none.
 	Limit float64
+	// Pause is how long the target wants no requests from this instance.
+	Pause time.Duration
 	// Reported is set if another instance reported the statement.
 	Reported bool
 }
@@ -58,14 +62,14 @@
 }
 
 // noteChange keeps a change of a target's notice if before differs from it.
-func (e *Engine) noteChange(t *target, before notice, reported bool) {
+func (e *Engine) noteChange(now time.Time, t *target, before notice, reported bool) {
 	n := t.notice
-	changed := n.leaving != before.leaving || (n.limit == 0) != (before.limit == 0)
+	changed := n.leaving != before.leaving || (n.limit == 0) != (before.limit == 0) || !n.pausedUntil.Equal(before.pausedUntil)
 	if !changed || len(e.noticeChanges) >= maxNoticeChanges {
 		return
 	}
 	e.noticeChanges = append(e.noticeChanges, NoticeChange{
-		Target: t.ID, Leaving: n.leaving, Limit: n.limit, Reported: reported,
+		Target: t.ID, Leaving: n.leaving, Limit: n.limit, Pause: max(n.pausedUntil.Sub(now), 0), Reported: reported,
 	})
 }
 
@@ -74,8 +78,9 @@
 	// boot and sequence are those of the newest entry of the target.
 	boot, sequence int64
 	// listedAt is when the registry was last known to list the target.
-	listedAt time.Time
-	leaving  bool
+	listedAt    time.Time
+	leaving     bool
+	pausedUntil time.Time
 	// limit is the limit that the target names, 0 if none, since limitSince.
 	limit      float64
 	limitSince time.Time
@@ -104,10 +109,13 @@
 // was sent to it at sentAt.
 func (e *Engine) RecordNotice(now time.Time, s *Send, stated Notice) {
 	n := s.target.notice
-	defer e.noteChange(s.target, *n, false)
+	defer e.noteChange(now, s.target, *n, false)
 	if stated.Leaving {
 		n.leave()
 	}
+	if stated.RetryAfter > 0 {
+		n.pausedUntil = later(n.pausedUntil, now.Add(stated.RetryAfter))
+	}
 	switch {
 	case stated.Limit > 0:
 		n.setLimit(now, now, stated.Limit)
@@ -140,6 +148,10 @@
 	n.limit, n.limitAt = limit, statedAt
 }
 
+// isPaused reports whether the target wants nothing from this instance at
+// present.
+func (n *notice) isPaused(now time.Time) bool { return now.Before(n.pausedUntil) }
+
 // sharedLimit returns what other instances are told of the target's limit, or 0
 // for nothing.
 func (n *notice) sharedLimit(now time.Time) float64 {
@@ -181,7 +193,7 @@
 // older ones to each other cannot keep up a limit that has ended.
 func (e *Engine) recordSharedNotice(now time.Time, t *target, o Observation) {
 	n := t.notice
-	defer e.noteChange(t, *n, true)
+	defer e.noteChange(now, t, *n, true)
 	if o.Leaving {
 		n.leave()
 	}
@@ -210,7 +222,7 @@
 func (e *Engine) AdoptNotices(from *Engine) {
 	for id, n := range from.notices {
 		e.notices[id] = &notice{
-			boot: n.boot, sequence: n.sequence, listedAt: n.listedAt, leaving: n.leaving,
+			boot: n.boot, sequence: n.sequence, listedAt: n.listedAt, leaving: n.leaving, pausedUntil: n.pausedUntil,
 			limit: n.limit, limitSince: n.limitSince, limitAt: n.limitAt,
 		}
 	}
--- a/core/steer/notice_test.go
+++ b/core/steer/notice_test.go
@@ -99,3 +99,42 @@
 	is.True(!sendsTo(t, b, start, "s-b1-0"))
 	is.Equal(len(b.TakeNoticeChanges()), 1)
 }
+
+// Guards against requests to a target that has refused one with a time for which
+// it wants no more.
+//
+// The load: one of two targets refuses with a pause, while requests go on; later
+// the only target does.
+func TestRefusedInstanceSendsNothingForTheTimeAskedFor(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(t, "i", "a1")
+	addTargets(e, "s", 2, "a1")
+	const id = "s-a1-0"
+	refusal := func(retryAfter time.Duration) ExchangeReport {
+		return ExchangeReport{Result: Shed, Notice: &Notice{RetryAfter: retryAfter}}
+	}
+	now := start
+	var r *Request
+	var s *Send
+	for object := uint64(1); s == nil || s.Target != id; object++ {
+		r = newTestRequest(e, now, "/order/1", object)
+		s = mustSend(t, e, now, r)
+	}
+	next, _ := e.Finish(now, r, s, refusal(1500*time.Millisecond))
+	is.True(next != nil && next.Target != id) // it did not run, and goes to the other target
+	// A shorter pause that another response asks for does not end this one.
+	state(e, now, id, Notice{RetryAfter: 200 * time.Millisecond})
+	state(e, now, id, Notice{})
+	for elapsed := time.Duration(0); elapsed < 1500*time.Millisecond; elapsed += 100 * time.Millisecond {
+		is.True(!sendsTo(t, e, now.Add(elapsed), id))
+	}
+	is.True(sendsTo(t, e, now.Add(20*time.Second), id)) // its error rate has faded too
+
+	now = now.Add(30 * time.Second)
+	state(e, now, id, Notice{RetryAfter: time.Second})
+	state(e, now, "s-a1-1", Notice{RetryAfter: 700 * time.Millisecond})
+	_, refused := e.Arrive(now, newTestRequest(e, now, "/read/1", 1))
+	is.True(refused != nil)
+	is.Equal(refused.Reason, ReasonHeldBack)
+	is.Equal(refused.RetryAfter, 700*time.Millisecond) // when the first of them takes requests again
+}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -125,7 +125,7 @@
 	if !e.inService(now, t) || !r.allows(t.region) || r.hasTried(t.ID) {
 		return false
 	}
-	if !t.health.usable(now, probeEarly) || !e.withinLimit(now, t) {
+	if !t.health.usable(now, probeEarly) || t.notice.isPaused(now) || !e.withinLimit(now, t) {
 		return false
 	}
 	return !t.isCold(now) || e.sendsToColdTarget(t) && t.coldBucket.ready(now, e.senderRateOf(t))
@@ -154,7 +154,7 @@
 	var top [localityCount][weightClasses][maxCandidates]candidate
 	classes := 1
 	for _, t := range targets {
-		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) || !e.sharesLimit(now, t) {
+		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) || t.notice.isPaused(now) || !e.sharesLimit(now, t) {
 			continue
 		}
 		total.add(t.load(now), t.Slots)
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -101,7 +101,7 @@
 	// response.
 	ReasonCallerDisconnected
 	// ReasonHeldBack means that the targets which could take the request have
-	// named a limit.
+	// named a limit, or asked for a pause.
 	ReasonHeldBack
 )
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -322,8 +322,12 @@
 
 // noticeOf returns what the target states of itself in a response.
 func noticeOf(resp *response) *steer.Notice {
-	return &steer.Notice{
+	notice := &steer.Notice{
 		Leaving: platform.ParseLeaving(resp.header.Peek(platform.HeaderLeaving)),
 		Limit:   platform.ParseLimit(resp.header.Peek(platform.HeaderLimit)),
 	}
+	if resp.header.StatusCode() == fasthttp.StatusServiceUnavailable {
+		notice.RetryAfter = platform.ParseRetryAfter(resp.header.Peek(platform.HeaderRetryAfter))
+	}
+	return notice
 }
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -139,3 +139,45 @@
 		})
 	}
 }
+
+// Guards against requests to a target between its refusal with Retry-After and
+// the end of that time.
+func TestRetryAfterOfATargetIsKept(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	is := is.New(t)
+	s := newSite(t)
+	var mu sync.Mutex
+	var refusedAt time.Time
+	var early, late int
+	s.startTarget("i-1", func(conn net.Conn, r *receivedRequest) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		switch since := time.Since(refusedAt); {
+		case refusedAt.IsZero():
+			refusedAt = time.Now()
+			return writeResponse(conn, r, 503, "full", "X-Not-Executed: 1", "Retry-After: 1.5")
+		case since > 500*time.Millisecond && since < pause:
+			early++
+		case since >= pause:
+			late++
+		}
+		return respondOK(conn, r)
+	})
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	c := s.connect(g)
+	refused := 0
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp := c.do("GET", "/read/1", "")
+		if resp.status == 503 {
+			refused++
+			is.True(resp.header.Get("Retry-After") != "")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("refused %d, %d at the target in its pause, %d after it", refused, early, late)
+	is.Equal(early, 0)
+	is.True(refused > 10)
+	is.True(late > 10)
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -129,7 +129,7 @@
 	for _, change := range changes {
 		g.metrics.increment("target_notices_total")
 		telemetry.Event("target_notice", telemetry.F("target", change.Target), telemetry.F("limit", change.Limit),
-			telemetry.F("leaving", change.Leaving), telemetry.F("reported", change.Reported))
+			telemetry.F("leaving", change.Leaving), telemetry.F("pause", change.Pause), telemetry.F("reported", change.Reported))
 	}
 }
 
