--- a/core/steer/limit.go
+++ b/core/steer/limit.go
@@ -32,10 +32,6 @@
 // takes over that of the other. An instance that starts has the shares that
 // heartbeats give it; it sends little before it has demand.
 const (
-	// limitFraction is what the shares of a limit add up to, as a fraction of it.
-	// Instances do not use all of their shares, since demands vary from moment to
-	// moment: with 1.0, a fifth of the limit stayed unused.
-	limitFraction = 1.15
 	// unusedLimitTime bounds the requests that all instances may have saved up,
 	// in multiples of what the limit allows in this time. Each instance can save
 	// one, so that the bound determines how many instances share a limit.
@@ -176,7 +172,7 @@
 		share.fraction, share.weightClass = fraction, e.limitedWeightClass(now, t, selected)
 		share.computedAt = now
 	}
-	rate := t.notice.limit * limitFraction * share.fraction
+	rate := t.notice.limit * share.fraction
 	if share.refilledAt.IsZero() {
 		share.tokens = initialLimitTokens
 	} else {
@@ -292,9 +288,9 @@
 	// The rate of a target of full weight.
 	full := highest
 	if free > 0 {
-		full = (e.totalDemand(now, group) - limitFraction*limits) / float64(free)
+		full = (e.totalDemand(now, group) - limits) / float64(free)
 	}
-	class := math.Floor(math.Log(full*selected/(limitFraction*t.notice.limit)) / math.Log(weightStep))
+	class := math.Floor(math.Log(full*selected/t.notice.limit) / math.Log(weightStep))
 	if !(class > 0) { // also if full is not positive
 		return 0
 	}
@@ -348,7 +344,7 @@
 		case n.limit > 0:
 			found = true
 			share := e.shareOf(now, t)
-			if rate := n.limit * limitFraction * share.fraction; rate > 0 {
+			if rate := n.limit * share.fraction; rate > 0 {
 				wait = min(wait, time.Duration(max(1-share.tokens, 0)/rate*float64(time.Second)))
 			}
 		}
