steer: a report on a target's statement names the boot that it is about

What callers would see: a target that is never used again after a restart under its old id. An instance that still knows the earlier boot passes on that it leaves; receivers that know the new one marked that, and would have kept passing it on to each other.

Change: such reports carry the low bits of the boot and count for that boot only; they are not passed on for targets without a boot, whose starts cannot be told apart. An older entry of a target does not undo what it has stated.

Evidence: TestReportAboutAnEarlierBootIsIgnored fails before.

--- a/core/steer/limit_test.go
+++ b/core/steer/limit_test.go
@@ -290,7 +290,7 @@
 	addTargets(b, "s", 1, "a1")
 	n := b.targets["s-a1-0"].notice
 	observe := func(now time.Time, limit float64, age time.Duration) {
-		b.RecordObservations(now, "a", []Observation{{Target: b.targets["s-a1-0"].hash, Limit: limit, LimitAge: age}})
+		b.RecordObservations(now, "a", []Observation{{Target: b.targets["s-a1-0"].hash, Boot: 1, Limit: limit, LimitAge: age}})
 	}
 	now := start.Add(10 * time.Second)
 	observe(now, 3, 2*time.Second)
@@ -299,7 +299,7 @@
 	is.Equal(n.limit, 0.0)
 	observe(now, 3, 2*time.Second) // repeated by a third instance
 	is.Equal(n.limit, 0.0)
-	is.Equal(b.SharedNotices(now), []Observation{{Target: b.targets["s-a1-0"].hash, Limit: NoLimit, LimitAge: time.Second}})
+	is.Equal(b.SharedNotices(now), []Observation{{Target: b.targets["s-a1-0"].hash, Boot: 1, Limit: NoLimit, LimitAge: time.Second}})
 	observe(now, 3, 0)
 	is.Equal(n.limit, 3.0)
 	b.Tick(now.Add(limitTTL + time.Second)) // nobody has heard of it since
--- a/core/steer/notice.go
+++ b/core/steer/notice.go
@@ -97,7 +97,7 @@
 // count their reports anew.
 func (e *Engine) noticeOf(now time.Time, r Record) *notice {
 	n := e.notices[r.ID]
-	if n == nil || n.boot != r.Boot || r.Boot == 0 && r.Sequence < n.sequence {
+	if n == nil || r.Boot > n.boot || r.Boot == 0 && r.Sequence < n.sequence {
 		n = &notice{boot: r.Boot}
 		e.notices[r.ID] = n
 	}
@@ -169,7 +169,9 @@
 func (e *Engine) SharedNotices(now time.Time) []Observation {
 	var stated []*target
 	for _, t := range e.targets {
-		if t.notice.leaving || t.notice.sharedLimit(now) != 0 {
+		// Without a boot, others could take the report for one about a later
+		// start.
+		if t.notice.boot != 0 && (t.notice.leaving || t.notice.sharedLimit(now) != 0) {
 			stated = append(stated, t)
 		}
 	}
@@ -179,7 +181,7 @@
 	var shared []Observation
 	for _, t := range stated[:min(len(stated), maxSharedNotices)] {
 		t.notice.sharedAt = now
-		o := Observation{Target: t.hash, Leaving: t.notice.leaving, Limit: t.notice.sharedLimit(now)}
+		o := Observation{Target: t.hash, Boot: uint32(t.notice.boot), Leaving: t.notice.leaving, Limit: t.notice.sharedLimit(now)}
 		if o.Limit != 0 {
 			o.LimitAge = now.Sub(t.notice.limitAt)
 		}
@@ -193,6 +195,9 @@
 // older ones to each other cannot keep up a limit that has ended.
 func (e *Engine) recordSharedNotice(now time.Time, t *target, o Observation) {
 	n := t.notice
+	if n.boot == 0 || uint32(n.boot) != o.Boot {
+		return
+	}
 	defer e.noteChange(now, t, *n, true)
 	if o.Leaving {
 		n.leave()
--- a/core/steer/notice_test.go
+++ b/core/steer/notice_test.go
@@ -138,3 +138,39 @@
 	is.Equal(refused.Reason, ReasonHeldBack)
 	is.Equal(refused.RetryAfter, 700*time.Millisecond) // when the first of them takes requests again
 }
+
+// Guards against a target that is never used again: it started again under its
+// id, and an instance that still knows its earlier boot reports that it leaves.
+func TestReportAboutAnEarlierBootIsIgnored(t *testing.T) {
+	is := is.New(t)
+	a, b := testEngine(t, "a", "a1"), testEngine(t, "b", "a1")
+	record := testRecord("s-1", "s", "a1")
+	a.PutTarget(start, record)
+	state(a, start, "s-1", Notice{Leaving: true, Limit: 2})
+	record.Boot, record.Sequence = record.Boot+1, 1
+	b.PutTarget(start, record)
+	b.RecordObservations(start, "a", a.SharedNotices(start))
+	is.True(!b.IsLeaving("s-1"))
+	is.Equal(b.targets["s-1"].notice.limit, 0.0)
+
+	// Without boots the report cannot be told from one about the present start.
+	record = testRecord("s-2", "s", "a1")
+	record.Boot = 0
+	a.PutTarget(start, record)
+	state(a, start, "s-2", Notice{Leaving: true})
+	for _, o := range a.SharedNotices(start) {
+		is.True(o.Target != a.targets["s-2"].hash)
+	}
+
+	// An older entry of a target that had expired does not undo its statements.
+	c := testEngine(t, "c", "a1")
+	record = testRecord("s-3", "s", "a1")
+	record.Boot = 7
+	c.PutTarget(start, record)
+	state(c, start, "s-3", Notice{Leaving: true})
+	c.DropTarget(start, "s-3", 0)
+	c.Tick(start)
+	record.Boot = 6
+	c.PutTarget(start, record)
+	is.True(!sendsTo(t, c, start, "s-3"))
+}
--- a/core/steer/share.go
+++ b/core/steer/share.go
@@ -40,6 +40,8 @@
 	// that it names or NoLimit. A Limit of 0 says nothing of it. Load and Down say nothing if either is set.
 	Leaving bool
 	Limit   float64
+	// Boot holds the low bits of the boot of the target that stated this.
+	Boot uint32
 	// LimitAge is how long ago the target stated its limit, or none.
 	LimitAge time.Duration
 }
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -42,6 +42,7 @@
 	fieldLeaving
 	fieldLimit
 	fieldLimitAge
+	fieldTargetBoot
 )
 
 const (
@@ -210,6 +211,8 @@
 
 // appendNotice encodes what the target of an observation stated.
 func appendNotice(dst []byte, o steer.Observation) []byte {
+	dst = protowire.AppendTag(dst, fieldTargetBoot, protowire.VarintType)
+	dst = protowire.AppendVarint(dst, uint64(o.Boot))
 	if o.Leaving {
 		dst = protowire.AppendTag(dst, fieldLeaving, protowire.VarintType)
 		dst = protowire.AppendVarint(dst, 1)
@@ -265,6 +268,8 @@
 			if value <= 1 {
 				o.Limit = steer.NoLimit
 			}
+		case fieldTargetBoot:
+			o.Boot = uint32(value)
 		case fieldLimitAge:
 			o.LimitAge = time.Duration(min(value, uint64(maxLimitAge/limitAgeUnit))) * limitAgeUnit
 		}
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -32,7 +32,7 @@
 		limited.Demands = append(limited.Demands, steer.Demand{Group: 1 << 31, PerSecond: 100})
 	}
 	for range 8 {
-		seen = append(seen, steer.Observation{Target: 1 << 63, Leaving: true, Limit: 100, LimitAge: 30 * time.Second})
+		seen = append(seen, steer.Observation{Target: 1 << 63, Boot: 1 << 31, Leaving: true, Limit: 100, LimitAge: 30 * time.Second})
 	}
 	is.True(len(encodeHeartbeatMessage(heartbeatMessage{own: limited, observations: seen})) <= 80+256+300)
 }
@@ -42,7 +42,7 @@
 	sent := heartbeatMessage{own: testHeartbeat, others: []presence.Heartbeat{{Name: "b"}, testHeartbeat},
 		breaks: []steer.BrokenExchange{{Fingerprint: 1 << 63, Target: 7}},
 		observations: []steer.Observation{{Target: 5, Load: 12}, {Target: 6, Down: true},
-			{Target: 7, Leaving: true}, {Target: 8, Limit: 2.25, LimitAge: 300 * time.Millisecond},
+			{Target: 7, Leaving: true, Boot: 1 << 31}, {Target: 8, Limit: 2.25, LimitAge: 300 * time.Millisecond},
 			{Target: 9, Leaving: true, Limit: steer.NoLimit, LimitAge: 20 * time.Second}}}
 	sent.own.ReportsDemands = true
 	sent.own.Demands = []steer.Demand{{Group: 1 << 31, PerSecond: 12.5}, {Group: 7, PerSecond: 0.5}}
