steer: targets without a notice cost nothing in the choice of a target

Each decision followed a pointer to the notice of each target of the service. A flag beside the target says whether there is anything to look at.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -170,6 +170,7 @@
 	}
 	t.Record, t.region, t.locality = r, region, e.localityOf(r, region)
 	t.notice = e.noticeOf(now, r)
+	t.updateRestricted(now)
 	t.expiresAt = time.Time{}
 	if r.ColdRemaining > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(r.ColdRemaining))
--- a/core/steer/notice.go
+++ b/core/steer/notice.go
@@ -110,6 +110,7 @@
 func (e *Engine) RecordNotice(now time.Time, s *Send, stated Notice) {
 	n := s.target.notice
 	defer e.noteChange(now, s.target, *n, false)
+	defer s.target.updateRestricted(now)
 	if stated.Leaving {
 		n.leave()
 	}
@@ -152,6 +153,12 @@
 // present.
 func (n *notice) isPaused(now time.Time) bool { return now.Before(n.pausedUntil) }
 
+// updateRestricted must be called after each change of the target's notice.
+func (t *target) updateRestricted(now time.Time) {
+	n := t.notice
+	t.restricted = n.leaving || n.limit > 0 || n.isPaused(now)
+}
+
 // sharedLimit returns what other instances are told of the target's limit, or 0
 // for nothing.
 func (n *notice) sharedLimit(now time.Time) float64 {
@@ -199,6 +206,7 @@
 		return
 	}
 	defer e.noteChange(now, t, *n, true)
+	defer t.updateRestricted(now)
 	if o.Leaving {
 		n.leave()
 	}
@@ -215,8 +223,9 @@
 		if n.limit > 0 && now.Sub(n.limitAt) > limitTTL {
 			n.limit = 0
 		}
-		if e.targets[id] != nil {
+		if t := e.targets[id]; t != nil {
 			n.listedAt = now
+			t.updateRestricted(now)
 		} else if now.Sub(n.listedAt) > noticeTTL {
 			delete(e.notices, id)
 		}
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -125,7 +125,7 @@
 	if !e.inService(now, t) || !r.allows(t.region) || r.hasTried(t.ID) {
 		return false
 	}
-	if !t.health.usable(now, probeEarly) || t.notice.isPaused(now) || !e.withinLimit(now, t) {
+	if !t.health.usable(now, probeEarly) || t.restricted && (t.notice.isPaused(now) || !e.withinLimit(now, t)) {
 		return false
 	}
 	return !t.isCold(now) || e.sendsToColdTarget(t) && t.coldBucket.ready(now, e.senderRateOf(t))
@@ -134,7 +134,7 @@
 // inService reports whether the target is in service: it is not draining or
 // leaving, misdirected, expired or in an evacuated zone.
 func (e *Engine) inService(now time.Time, t *target) bool {
-	return !t.Draining && !t.notice.leaving && !t.misdirected && !e.evacuated[t.Zone] &&
+	return !t.Draining && !(t.restricted && t.notice.leaving) && !t.misdirected && !e.evacuated[t.Zone] &&
 		(t.expiresAt.IsZero() || now.Before(t.expiresAt))
 }
 
@@ -154,7 +154,7 @@
 	var top [localityCount][weightClasses][maxCandidates]candidate
 	classes := 1
 	for _, t := range targets {
-		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) || t.notice.isPaused(now) || !e.sharesLimit(now, t) {
+		if !e.inService(now, t) || !t.health.usable(now, r.Route.Kind.Retryable()) || t.restricted && (t.notice.isPaused(now) || !e.sharesLimit(now, t)) {
 			continue
 		}
 		total.add(t.load(now), t.Slots)
@@ -162,8 +162,11 @@
 			continue
 		}
 		c := candidate{t, mix(r.Object, t.hash)}
-		class := e.weightClassOf(now, t)
-		classes = max(classes, class+1)
+		class := 0
+		if t.restricted {
+			class = e.weightClassOf(now, t)
+			classes = max(classes, class+1)
+		}
 		best := &top[t.locality][class]
 		for rank := range best {
 			if best[rank].target == nil || c.hash > best[rank].hash {
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -73,8 +73,10 @@
 	// expiresAt is when the target goes out of use. It is set once the registry
 	// no longer lists the target.
 	expiresAt time.Time
-	// notice is what the target stated in its responses.
-	notice *notice
+	// notice is what the target stated in its responses. restricted is set if it
+	// restricts what the target may get, so that most decisions need not look.
+	notice     *notice
+	restricted bool
 	// misdirected is set once another target responded at the address.
 	misdirected bool
 }
