gateway: at least three instances follow the document from the store

In a fleet with one zone, a change of the document reached the instances that follow the relay more than 2 s late when the relay's connection to the store had fallen silent, although their own connections worked.

Cause: the relay notices a silent connection by the timeout of its held call, after up to 5 s. The signals of the last commits need an instance that knows the newer version, and with one zone the relay is the only one that follows the store. Class: a repair that depends on the part that failed.

Change: in a fleet with fewer than three zones, the next one or two candidates for relay of each zone follow the document from the store too. Their heartbeats report a newer version, and followers and the relay itself then ask elsewhere after 0.4 s. Fleets with three zones or more have as many relays, so that nothing changes for them, nor the number of calls.

Tried and reverted: held calls of 3 s instead of 4 s and TCP keep-alive probes after 1 s.

TestLookupsReturnStrongInstances counted one reader of the document among two strong instances and a weak one. It now checks both tables: the strong ones both read the document, one reads the registry, the weak one neither.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -545,15 +545,17 @@
 	is.True(strings.Contains(body, a.node.Requests) && strings.Contains(body, b.node.Requests))
 	is.True(!strings.Contains(body, weak.node.Requests))
 	is.True(a.isAdvertised() && b.isAdvertised() && !weak.isAdvertised()) // only advertised instances keep standby connections
-	_, relayed := weak.selectSource(&feed{next: 1, progress: weak.operatorProgress}, 0)
-	is.True(relayed) // a weak instance follows a strong one, whatever their names
-	relays := 0
-	for _, g := range []*Gateway{a, b} {
-		if _, relayed := g.selectSource(&feed{next: 1, progress: g.operatorProgress}, 0); !relayed {
-			relays++
+	readers := map[platform.Feed]int{}
+	for _, g := range []*Gateway{a, b, weak} {
+		for _, f := range []*feed{{table: platform.FeedOperator, next: 1, progress: g.operatorProgress}, {table: platform.FeedRegistry, next: 1, progress: g.registryProgress}} {
+			_, relayed := g.selectSource(f, 0)
+			if !relayed {
+				readers[f.table]++
+			}
+			is.True(relayed || g != weak) // a weak instance follows a strong one, whatever their names
 		}
 	}
-	is.Equal(relays, 1)
+	is.Equal(readers, map[platform.Feed]int{platform.FeedOperator: 2, platform.FeedRegistry: 1})
 	b.Cleanup()
 	s.waitFor("all that live are advertised", func() bool {
 		body := advertised()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -35,6 +35,10 @@
 	// heartbeats settle both soon.
 	relayRetryDelay   = 5 * time.Second
 	relayRefusalDelay = presence.Interval
+	// minStoreReaders is the least number of instances of a fleet that follow
+	// the document from the store. If the connection of one falls silent, the
+	// others notice a change, and their heartbeats report it.
+	minStoreReaders = 3
 	// relayStartWait is how long a relay that starts at the same time may take
 	// to read a feed.
 	relayStartWait = time.Second
@@ -219,7 +223,7 @@
 		// The store may refuse only this instance, or show it an older state.
 		address, acceptsStale = g.newerPeer(f, live), true
 	case failures == 0:
-		address = g.usableRelay(now, live)
+		address = g.usableRelay(now, f.table, live)
 	}
 	if address == "" {
 		return g.storeClient, false
@@ -227,13 +231,13 @@
 	return &relaySource{relays: g.relays, address: address, acceptsStale: acceptsStale}, true
 }
 
-// usableRelay returns the address of the zone's relay, or an empty string if
-// this instance is the relay or the last call to it failed.
-func (g *Gateway) usableRelay(now time.Time, live []presence.Heartbeat) string {
+// usableRelay returns the address of the instance that relays a table to this
+// one, or an empty string if there is none or the last call to it failed.
+func (g *Gateway) usableRelay(now time.Time, table platform.Feed, live []presence.Heartbeat) string {
 	if !g.relays.isUsable(now) {
 		return ""
 	}
-	return relayAddress(g.self(), live)
+	return relayOf(table, g.self(), live)
 }
 
 // newerPeer returns the address of a live instance that knows a change which the
@@ -267,8 +271,8 @@
 // batchDelay returns the pause after a call that returned changes. An instance
 // that calls the store in place of its relay pauses longer: if a relay fails,
 // all instances of its zone do.
-func (g *Gateway) batchDelay(relayed bool) time.Duration {
-	if !relayed && relayAddress(g.self(), g.peers.live(time.Now())) != "" {
+func (g *Gateway) batchDelay(table platform.Feed, relayed bool) time.Duration {
+	if !relayed && relayOf(table, g.self(), g.peers.live(time.Now())) != "" {
 		return fallbackBatchDelay
 	}
 	return feedBatchDelay
@@ -285,12 +289,46 @@
 	return ""
 }
 
+// relayOf returns the address of the instance that relays a table to this one,
+// or an empty string if this one follows it from the store.
+func relayOf(table platform.Feed, self presence.Heartbeat, live []presence.Heartbeat) string {
+	if table == platform.FeedOperator && isStandby(self, live) {
+		return ""
+	}
+	return relayAddress(self, live)
+}
+
+// isStandby reports whether an instance follows the document from the store
+// though it is not its zone's relay: in a fleet with few zones.
+func isStandby(self presence.Heartbeat, live []presence.Heartbeat) bool {
+	zones := map[string]bool{self.Zone: true}
+	for _, heartbeat := range live {
+		zones[heartbeat.Zone] = true
+	}
+	readersPerZone := (minStoreReaders + len(zones) - 1) / len(zones)
+	if readersPerZone < 2 {
+		return false
+	}
+	rank := slices.IndexFunc(relayCandidates(self, live), func(h presence.Heartbeat) bool { return h.Name == self.Name })
+	return rank > 0 && rank < readersPerZone
+}
+
 // relayAddress returns the address of the zone's relay, or an empty string if
 // this instance is the relay. All instances that see the same live instances
-// choose the same one. It is an advertised one, since the link of a weak
+// choose the same one.
+func relayAddress(self presence.Heartbeat, live []presence.Heartbeat) string {
+	candidates := relayCandidates(self, live)
+	if len(candidates) == 0 || candidates[0].Name == self.Name {
+		return ""
+	}
+	return candidates[0].PeerAddr
+}
+
+// relayCandidates returns the instances that may be the zone's relay, the
+// preferred one first. They are advertised ones, since the link of a weak
 // instance would delay the feeds for the whole zone. Only ready instances are
 // relays, unless the zone has none: then all of them are starting.
-func relayAddress(self presence.Heartbeat, live []presence.Heartbeat) string {
+func relayCandidates(self presence.Heartbeat, live []presence.Heartbeat) []presence.Heartbeat {
 	var ready, starting []presence.Heartbeat
 	for _, heartbeat := range append([]presence.Heartbeat{self}, live...) {
 		switch {
@@ -306,15 +344,13 @@
 		candidates = starting
 	}
 	if len(candidates) == 0 {
-		return ""
+		return nil
 	}
-	relay := slices.MinFunc(presence.Advertised(candidates), func(a, b presence.Heartbeat) int {
+	candidates = slices.Clone(presence.Advertised(candidates))
+	slices.SortFunc(candidates, func(a, b presence.Heartbeat) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
-	if relay.Name == self.Name {
-		return ""
-	}
-	return relay.PeerAddr
+	return candidates
 }
 
 // relayResponse is the body of a relay's response.
@@ -434,9 +470,9 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	for f, h := range g.relays.histories {
-		if platform.Feed(f).String() == name {
-			g.serveFollower(ctx, h)
+	for f := range g.relays.histories {
+		if table := platform.Feed(f); table.String() == name {
+			g.serveFollower(ctx, table)
 			return
 		}
 	}
@@ -448,7 +484,8 @@
 // follow each other. The whole table comes from any instance that knows it to
 // be current, so that a starting one does not use what was removed meanwhile,
 // or from any at all if the caller cannot reach the store either.
-func (g *Gateway) serveFollower(ctx *fasthttp.RequestCtx, h *history) {
+func (g *Gateway) serveFollower(ctx *fasthttp.RequestCtx, table platform.Feed) {
+	h := g.relays.histories[table]
 	after, afterErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	waitMS, waitErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("wait_ms")), 10, 32)
 	if afterErr != nil || waitErr != nil {
@@ -460,7 +497,7 @@
 		g.serveTable(ctx, h, wait)
 		return
 	}
-	if !g.canRelayChanges() {
+	if !g.canRelayChanges(table) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -469,7 +506,7 @@
 	case !complete:
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
-	case len(rows) == 0 && !g.canRelayChanges():
+	case len(rows) == 0 && !g.canRelayChanges(table):
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -485,11 +522,11 @@
 	ctx.SetBody(body)
 }
 
-// canRelayChanges reports whether this instance follows the store itself and
-// reaches it.
-func (g *Gateway) canRelayChanges() bool {
+// canRelayChanges reports whether this instance follows a table from the store,
+// and reaches it.
+func (g *Gateway) canRelayChanges(table platform.Feed) bool {
 	now := time.Now()
-	return g.usableRelay(now, g.peers.live(now)) == "" && !g.leaving.Load() && g.storeState.isCurrent(now)
+	return g.usableRelay(now, table, g.peers.live(now)) == "" && !g.leaving.Load() && g.storeState.isCurrent(now)
 }
 
 // serveTable responds to a call for all rows of a feed. If the feed was not read
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -381,7 +381,7 @@
 				g.registryProgress.interruptCall()
 			}
 			if changed {
-				f.progress.pause(g.ctx, g.batchDelay(relayed))
+				f.progress.pause(g.ctx, g.batchDelay(f.table, relayed))
 			}
 		}
 	}
