--- a/core/steer/share.go
+++ b/core/steer/share.go
@@ -37,7 +37,8 @@
 	// Down is set if the target does not respond to the instance.
 	Down bool
 	// Leaving and Limit are what the target stated: that it stops, and the limit
-	// that it names or NoLimit. A Limit of 0 says nothing of it. Load and Down say nothing if either is set.
+	// that it names or NoLimit. A Limit of 0 says nothing of it. If either is
+	// set, Load and Down say nothing.
 	Leaving bool
 	Limit   float64
 	// Boot holds the low bits of the boot of the target that stated this.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,9 +262,8 @@
 
 // Drain takes the instance out of service: lookups stop returning it, while
 // requests that still arrive are served, at the end only those that can be
-// served in time. Drain returns once no caller's
-// connection is open, at the latest shortly before the platform's grace period
-// ends.
+// served in time. Drain returns once no caller's connection is open, at the
+// latest shortly before the platform's grace period ends.
 func (g *Gateway) Drain() {
 	began := time.Now()
 	end := began.Add(g.node.Bounds.Grace - drainMargin)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// send sends a heartbeat to the instances that the table selects.
-// Only those of its zone get the loads of targets.
+// send sends a heartbeat to the instances that the table selects. Only those of
+// the own zone get the loads of targets.
 func (p *peers) send(now time.Time, state presence.State, breaks []steer.BrokenExchange, loads, notices []steer.Observation) {
 	p.mu.Lock()
 	p.table.SetState(state)
