gateway: a relay holds its followers through a short loss of the store

What callers saw: nothing; the store got calls of whole fleets when it had been away for a moment.

Since "a relay that loses the store releases the followers that it holds" each relay released its followers at once, and all of them read both tables from the store: 119 refusals by relays within 2 s.

Change: followers are released once the store has been lost for 1 s.

Evidence: TestRelayHoldsItsFollowersThroughAShortLossOfTheStore fails before (3 of 3 runs).

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -186,6 +186,32 @@
 	}
 }
 
+// Guards against all followers calling a store that was away for a moment.
+func TestRelayHoldsItsFollowersThroughAShortLossOfTheStore(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	link := s.startFaultyLink()
+	relay := s.startInstanceAt("relay", 320, 1000, link.listener.Addr().String())
+	_, at, _, _ := relay.relays.histories[platform.FeedOperator].changesSince(0)
+	held := make(chan error, 1)
+	go func() {
+		follower := &relaySource{relays: newRelays(), address: peerAddress(relay.node)}
+		rows, _, err := follower.Watch(t.Context(), platform.FeedOperator, at.Next, 3*documentDelay)
+		if err == nil && len(rows) == 0 {
+			err = errors.New("no change")
+		}
+		held <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	link.fail(false, false)
+	s.waitFor("loss of the store", func() bool { return !relay.storeState.isCurrent(time.Now()) })
+	link.repair()
+	s.waitFor("return of the store", func() bool { return relay.storeState.isCurrent(time.Now()) })
+	time.Sleep(followerReleaseDelay)
+	s.putDocument(2)
+	is.NoErr(<-held) // released by the change, not by the loss
+}
+
 // Guards against an instance that overlooks a newer version which only a copied
 // heartbeat reports.
 func TestCopiedHeartbeatReportsANewerVersion(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -506,7 +506,7 @@
 	case !complete:
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
-	case len(rows) == 0 && !g.canRelayChanges(table):
+	case len(rows) == 0 && isClosed(g.storeState.whenLost()):
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -554,8 +554,8 @@
 }
 
 // waitForChanges returns the rows that changed after a version. It waits for a
-// change if there is none yet, unless this instance loses the store. complete is
-// false if removed rows may be missing.
+// change if there is none yet, unless this instance has lost the store. complete
+// is false if removed rows may be missing.
 func (g *Gateway) waitForChanges(h *history, after uint64, wait time.Duration) (rows []platform.Row, at platform.Position, complete bool) {
 	rows, at, changed, complete := h.changesSince(after)
 	if complete && len(rows) == 0 {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -40,6 +40,10 @@
 	// target could not reach the store; a live target has it back after about
 	// 2 s.
 	expiryGrace = 2 * time.Second
+	// followerReleaseDelay is how long a relay must have lost the store before it
+	// releases the followers that it holds. All relays lose a store that starts
+	// again, and all followers would call it at the same time.
+	followerReleaseDelay = time.Second
 	// localOutageAfter is how long other instances must have been ahead before
 	// a loss of the store is treated as local to this instance.
 	localOutageAfter = 1500 * time.Millisecond
@@ -58,7 +62,9 @@
 	// disappear meanwhile were then removed and did not expire.
 	localOutage bool
 	down        bool
-	// lost is closed when the store is lost.
+	// losses is how often the store was lost.
+	losses int
+	// lost is closed once the store has been lost for followerReleaseDelay.
 	lost chan struct{}
 	// registryRead is set once the whole registry was read.
 	registryRead bool
@@ -75,7 +81,10 @@
 	if !s.down {
 		return false
 	}
-	s.down, s.lost = false, make(chan struct{})
+	s.down = false
+	if isClosed(s.lost) {
+		s.lost = make(chan struct{})
+	}
 	if !s.localOutage {
 		s.recoveredAt = now
 	}
@@ -89,11 +98,32 @@
 	s.lastFailure = now
 	if !s.down {
 		s.down, s.localOutage = true, false
-		close(s.lost)
+		s.losses++
+		loss := s.losses
+		time.AfterFunc(followerReleaseDelay, func() { s.confirmLoss(loss) })
 		telemetry.Failure("store_lost", err)
 	}
 }
 
+// confirmLoss records that a loss of the store has lasted, unless the store has
+// responded since.
+func (s *storeState) confirmLoss(loss int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down && s.losses == loss {
+		close(s.lost)
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // age returns the time since the last response of the store or the relay, or 0
 // before the first.
 func (s *storeState) age(now time.Time) time.Duration {
@@ -112,7 +142,8 @@
 	return !s.down && now.Sub(s.lastResponse) < storeFreshFor
 }
 
-// whenLost returns a channel that is closed once the store is lost.
+// whenLost returns a channel that is closed once the store has been lost for
+// followerReleaseDelay.
 func (s *storeState) whenLost() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
