gateway: a failed call drops the idle connections that may be silent too

The call to the relay was given up after 0.4 s. The next one, to the store, went out on an idle connection of the pool, which had fallen silent with the first: 1 s until its timeout. The next one, to an instance with the newer version, as well: 3 s. Then the store again, until a pool was used up. Class: a retry on what has just failed.

Change: after a call that failed or was given up, the idle connections to the store and to other instances are closed. In use ones are not touched.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -263,6 +263,7 @@
 		err := g.syncMembers(&registered)
 		if err != nil {
 			telemetry.Failure("sync_members", err)
+			g.dropIdleConnections()
 			period = memberRetryDelay
 		}
 		if err == nil || !g.node.FirstStart {
--- a/gateway/schedule_test.go
+++ b/gateway/schedule_test.go
@@ -9,6 +9,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"pistachioford.example/core/presence"
+	"pistachioford.example/pistachioford/platform"
 )
 
 var (
@@ -162,6 +165,31 @@
 	}
 }
 
+// Guards against an instance that makes one call after the other on connections
+// which have fallen silent together, and waits for the timeout of each.
+func TestSilentIdleConnectionsAreNotUsedAgain(t *testing.T) {
+	s := newSite(t)
+	link := s.startFaultyLink()
+	g := s.startInstanceAt("g", 320, 1000, link.listener.Addr().String())
+	_, at, _, _ := g.relays.histories[platform.FeedOperator].changesSince(0)
+	var held sync.WaitGroup
+	for range 6 {
+		// Leaves an idle connection.
+		held.Go(func() {
+			_, _, _ = g.storeClient.Watch(t.Context(), platform.FeedOperator, at.Next, 300*time.Millisecond)
+		})
+	}
+	held.Wait()
+	link.fail(true, true)
+	version := s.putDocument(2)
+	g.handleHeartbeat(heartbeatMessage{own: presence.Heartbeat{
+		Name: "elsewhere", Zone: "zb", PeerAddr: "127.0.0.1:1", Sequence: 1, Document: version,
+	}})
+	if took := s.waitForDocument(g, 2); took > documentDelay {
+		t.Errorf("version 2 active %v after another instance reported it", took)
+	}
+}
+
 const (
 	scheduleInstances = 5
 	scheduleSteps     = 16
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -381,6 +381,9 @@
 		changed, err := f.poll(g.ctx, src, failures > 0)
 		now := time.Now()
 		g.metrics.countFeedCall(f.table, relayed, changed, err)
+		if err != nil && !errors.Is(err, platform.ErrHistoryDropped) {
+			g.dropIdleConnections()
+		}
 		switch {
 		case errors.Is(err, errPollAbandoned):
 			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("source", src.Name()),
@@ -418,6 +421,15 @@
 	}
 }
 
+// dropIdleConnections closes the idle connections to the store and to other
+// instances after a call that failed or was given up. What made one connection
+// fall silent may have met the others too, and each call on such a connection
+// would only end by its timeout.
+func (g *Gateway) dropIdleConnections() {
+	g.storeClient.DropIdleConnections()
+	g.relays.client.CloseIdleConnections()
+}
+
 // isAnyInstance reports whether a source is an instance that may itself have
 // lost the store.
 func isAnyInstance(src source) bool {
