poison: a request that crashes targets is refused by the whole fleet

Callers' orders and reads lost their targets: a request that crashes each target which runs it was sent on long after the third crash.

Cause: breaks were sent for 5 s, six at most, to 15 instances a heartbeat, and not passed on; they were kept for 30 s, by target without its boot. Instances that start later, most instances of a large fleet, and all of them 30 s later knew nothing. Class: shared knowledge that lives only in short-lived messages.

Reports go to three keepers, verdicts to all instances, to starting ones and to the store (docs/design.md 15). A request that was served recently, or whose exchanges were in flight together, is not blocked.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"pistachioford.example/core/poison"
 )
 
 // Self identifies the instance that makes the decisions.
@@ -38,7 +40,7 @@
 	// isSender is set if this instance may send to cold targets.
 	isSender      bool
 	retryBudgets  map[string]*retryBudget
-	suspects      suspects
+	poison        *poison.Detector
 	recentObjects recentObjects
 	serviceTimes  map[routeService]*serviceTimes
 	// rtts holds the moving average of the round-trip time to each zone.
@@ -73,7 +75,7 @@
 		byHash:        map[uint64]*target{},
 		evacuated:     map[string]bool{},
 		retryBudgets:  map[string]*retryBudget{},
-		suspects:      suspects{byFingerprint: map[uint64]suspect{}},
+		poison:        poison.New(c.Self.Name),
 		recentObjects: recentObjects{handledAt: map[uint64]time.Time{}},
 		serviceTimes:  map[routeService]*serviceTimes{},
 		rtts:          map[string]time.Duration{},
@@ -190,7 +192,7 @@
 
 // Tick does the periodic work: it adjusts the fraction of objects with homes in
 // other regions, removes expired targets without requests in flight, and
-// expires crash suspects and notices.
+// expires what is known of poison requests and notices.
 func (e *Engine) Tick(now time.Time) {
 	e.adjustSpills(now)
 	for id, t := range e.targets {
@@ -198,7 +200,7 @@
 			e.removeTarget(id)
 		}
 	}
-	e.suspects.expire(now)
+	e.poison.Expire(now)
 	e.expireNotices(now)
 }
 
@@ -218,6 +220,15 @@
 	e.byService[t.Service] = others
 }
 
+// Poison returns what is known of requests that crash targets.
+func (e *Engine) Poison() *poison.Detector { return e.poison }
+
+// AdoptPoison takes over the requests that an engine which this one replaces
+// refused since they crash targets.
+func (e *Engine) AdoptPoison(now time.Time, from *Engine) {
+	e.poison.RecordVerdicts(now, from.poison.Verdicts(now))
+}
+
 // Targets returns the number of known targets.
 func (e *Engine) Targets() int { return len(e.targets) }
 
--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,9 +215,8 @@
 	t.Helper()
 	is := is.New(t)
 	is.True(crash() == nil)
-	first := e.suspects.byFingerprint[mix(5, 7)]
-	is.Equal(len(first.targets), 1)
-	for range maxCrashedTargets + 2 {
+	is.True(!e.poison.Blocked(mix(5, 7)))
+	for range 3 + 2 {
 		if refusal := crash(); refusal != nil {
 			is.Equal(refusal.Reason, ReasonCrasher)
 			return
@@ -228,14 +229,17 @@
 // are still sent by other instances.
 func TestBreaksCountAcrossInstances(t *testing.T) {
 	is := is.New(t)
-	var engines []*Engine
-	for i := range maxCrashedTargets {
-		e := testEngine(t, fmt.Sprintf("i%d", i), "a1")
+	engines := map[string]*Engine{"i0": nil, "i1": nil, "i2": nil}
+	names := slices.Sorted(maps.Keys(engines))
+	for _, name := range names {
+		e := testEngine(t, name, "a1")
 		addTargets(e, "s", 6, "a1")
-		engines = append(engines, e)
+		e.Poison().SetInstances(slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name }))
+		engines[name] = e
 	}
 	hit := map[TargetID]bool{}
-	for _, e := range engines {
+	for _, name := range names {
+		e := engines[name]
 		r := newTestRequest(e, start, "/order/1", 5)
 		r.tried = append(r.tried, "s-a1-0")
 		for id := range hit {
@@ -244,11 +248,13 @@
 		s := mustSend(t, e, start, r)
 		hit[s.Target] = true
 		_, _ = finish(e, start, r, s, Broken)
-		for _, other := range engines {
-			other.RecordBreaks(start, e.RecentBreaks(start))
+		messages := e.Poison().NextMessages(start)
+		for _, other := range names {
+			if other != name {
+				engines[other].Poison().RecordReports(start, messages.Reports[other])
+				engines[other].Poison().RecordVerdicts(start, messages.New)
+			}
 		}
-		is.Equal(len(e.RecentBreaks(start)), 1)
-		is.Equal(len(e.RecentBreaks(start.Add(maxBreakAge+time.Second))), 0)
 	}
 	for _, e := range engines {
 		_, refusal := e.Arrive(start, newTestRequest(e, start, "/order/1", 5))
@@ -271,7 +277,7 @@
 	for i, r := range requests {
 		_, _ = finish(e, start, r, sends[i], Broken)
 	}
-	is.True(!e.suspects.blocked(start, mix(5, 7)))
+	is.True(!e.poison.Blocked(mix(5, 7)))
 }
 
 // TestUnavailableTargetsGetNoRequests guards against requests to a target that
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pistachioford.example/core/poison"
 )
 
 // Request is a request of a caller with the state of its attempts.
@@ -139,8 +141,8 @@
 // Fingerprint, BodyBytes and Deadline must be set.
 func (e *Engine) Arrive(now time.Time, r *Request) (Send, *Refusal) {
 	r.Service = e.pickService(r.Route)
-	if e.suspects.blocked(now, r.Fingerprint) {
-		return Send{}, &Refusal{Reason: ReasonCrasher, RetryAfter: suspectTTL}
+	if !e.poison.Admit(now, r.Fingerprint) {
+		return Send{}, &Refusal{Reason: ReasonCrasher, RetryAfter: poison.ProbeDelay}
 	}
 	e.creditRequest(now, r.Service)
 	return e.dispatch(now, r)
@@ -315,9 +317,9 @@
 		} else {
 			t.health.recordFailure(now, report.Immediate)
 		}
-		if b := (BrokenExchange{Fingerprint: r.Fingerprint, Target: t.hash}); e.suspects.recordBreak(now, b) {
-			e.suspects.addRecent(now, b)
-		}
+		e.poison.RecordBreak(now, poison.Report{
+			Fingerprint: r.Fingerprint, Target: mix(t.hash, uint64(t.Boot)), SentAgo: elapsed,
+		})
 	case TimedOut:
 		t.health.recordFailure(now, false)
 		t.recordDuration(now, elapsed, s.expectedDuration)
@@ -330,7 +332,7 @@
 	t, elapsed := s.target, now.Sub(s.sentAt)
 	t.health.recordSuccess(now)
 	e.serviceTimesOf(r).recordSize(report.ResponseBytes)
-	e.suspects.clear(r.Fingerprint)
+	e.poison.RecordSuccess(now, r.Fingerprint)
 	if !s.queued {
 		serviceTime := max(elapsed-e.rtt(t), 0)
 		times := e.serviceTimesOf(r)
@@ -381,7 +383,7 @@
 	if r.Streaming || r.ResponseStarted || r.attemptCount >= r.Route.MaxAttempts || !now.Before(r.Deadline) {
 		return false
 	}
-	if e.suspects.blocked(now, r.Fingerprint) {
+	if e.poison.Blocked(r.Fingerprint) {
 		return false
 	}
 	return e.takeRetryToken(now, r.Service)
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
@@ -19,7 +20,8 @@
 	f.Add(encodeHeartbeatMessage(heartbeatMessage{
 		own:          presence.Heartbeat{Name: "a", Zone: "za", RequestAddr: "10.0.0.1:1", PeerAddr: "10.0.0.1:2", Boot: 1, Sequence: 2},
 		others:       []presence.Heartbeat{{Name: "b", Zone: "zb"}},
-		breaks:       []steer.BrokenExchange{{Fingerprint: 1, Target: 2}},
+		reports:      []poison.Report{{Fingerprint: 1, Target: 2}},
+		verdicts:     []poison.Verdict{{Fingerprint: 3, Serial: 1, Blocked: true, Crashes: 3}},
 		observations: []steer.Observation{{Target: 1, Load: 2}, {Target: 3, Down: true}},
 	}))
 	f.Add([]byte{})
@@ -35,7 +37,8 @@
 		for _, heartbeat := range append(message.others, message.own) {
 			table.RecordHeartbeat(now, heartbeat)
 		}
-		engine.RecordBreaks(now, message.breaks)
+		engine.Poison().RecordReports(now, message.reports)
+		engine.Poison().RecordVerdicts(now, message.verdicts)
 		engine.RecordObservations(now, message.own.Name, message.observations)
 		table.NextHeartbeat(now)
 		table.ColdSenders()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
@@ -44,6 +45,9 @@
 
 	document atomic.Pointer[steer.Document]
 	leaving  atomic.Bool
+	// verdictsKnown is set once this instance knows which requests the others
+	// refuse since they crash targets.
+	verdictsKnown atomic.Bool
 	// drain is set during a planned stop.
 	drain atomic.Pointer[steer.DrainPlan]
 
@@ -121,6 +125,7 @@
 	g.background("heartbeats_sent", g.sendHeartbeats)
 	g.background("heartbeats_received", func() { g.peers.receive(g.handleHeartbeatGuarded) })
 	g.background("standby", g.maintainStandby)
+	g.background("poison", g.maintainVerdicts)
 	g.background("tick", g.tick)
 }
 
@@ -206,13 +211,15 @@
 		case now := <-ticker.C:
 			g.pools.sweep(now)
 			var changes []steer.NoticeChange
+			var verdicts []poison.Change
 			g.guard("tick", func() {
 				g.withEngine(func(e *steer.Engine) {
 					e.Tick(now)
-					changes = e.TakeNoticeChanges()
+					changes, verdicts = e.TakeNoticeChanges(), e.Poison().TakeChanges()
 				})
 			})
 			g.logNotices(changes)
+			g.logVerdicts(verdicts)
 		}
 	}
 }
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -56,14 +56,15 @@
 }
 
 // rebuildEngine replaces the engine by one with the document, evacuations and
-// targets of the feeds, and with what targets stated. What the old one had
-// measured is lost, as after a restart. It is called with mu held.
+// targets of the feeds, with what targets stated and with the requests that are
+// blocked. What the old one had measured is lost, as after a restart. It is called with mu held.
 func (g *Gateway) rebuildEngine(now time.Time) {
 	broken := g.engine
 	g.engine = steer.NewEngine(g.engineConfig)
 	if broken != nil {
 		// What targets stated holds on: they may not state it again in time.
 		g.guard("rebuild", func() { g.engine.AdoptNotices(broken) })
+		g.guard("rebuild", func() { g.engine.AdoptPoison(now, broken) })
 	}
 	if doc := g.document.Load(); doc != nil {
 		// The newest row may hold a document that was refused.
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
@@ -53,8 +54,8 @@
 
 	breakEngine(g)
 	g.handleHeartbeatGuarded(heartbeatMessage{
-		own:    presence.Heartbeat{Name: "other", Zone: "za", Boot: 1},
-		breaks: []steer.BrokenExchange{{Fingerprint: 1, Target: 2}},
+		own:     presence.Heartbeat{Name: "other", Zone: "za", Boot: 1},
+		reports: []poison.Report{{Fingerprint: 1, Target: 2}},
 	})
 	is.Equal(g.metrics.value(`panics_total{part="heartbeat"}`), uint64(1))
 	is.Equal(g.peers.fleet(time.Now()).known, 0)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -54,6 +54,9 @@
 type site struct {
 	t     *testing.T
 	store *standin.Store
+	// restarting is set if instances that start now belong to a system that ran
+	// before.
+	restarting bool
 }
 
 func newSite(t *testing.T) *site {
@@ -101,7 +104,7 @@
 		Name: name, Address: "127.0.0.1", Zone: "za", Region: "ra",
 		Zones:    map[string]string{"za": "ra", "zb": "rb"},
 		Requests: address(0), Readiness: address(1), Lookups: address(2), PeerPort: ports[3], Metrics: address(4),
-		Store: store, MilliCPU: cpu, LinkMbps: link, FirstStart: true,
+		Store: store, MilliCPU: cpu, LinkMbps: link, FirstStart: !s.restarting,
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
 			LookupTTL: 5 * time.Second, Grace: 6 * time.Second},
 	})
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 )
@@ -20,8 +21,10 @@
 	// heartbeats.
 	own    presence.Heartbeat
 	others []presence.Heartbeat
-	// breaks are exchanges that ended without a complete response.
-	breaks []steer.BrokenExchange
+	// reports are exchanges that ended without a complete response, verdicts the
+	// requests that are refused since they crash targets.
+	reports  []poison.Report
+	verdicts []poison.Verdict
 	// observations are what the sender observed of targets.
 	observations []steer.Observation
 }
@@ -30,8 +33,10 @@
 const (
 	fieldOwn protowire.Number = iota + 1
 	fieldOther
-	fieldBreak
+	_ // used by earlier versions
 	fieldObservation
+	fieldReport
+	fieldVerdict
 )
 
 // Fields of an observation.
@@ -56,8 +61,33 @@
 	maxLimitAge = time.Hour
 )
 
-// breakBytes is the length of an encoded break: two fixed 64-bit numbers.
-const breakBytes = 16
+// Fields of a report.
+const (
+	fieldReportFingerprint protowire.Number = iota + 1
+	fieldReportTarget
+	fieldSentAgo
+	fieldBrokenAgo
+)
+
+// Fields of a verdict.
+const (
+	fieldVerdictFingerprint protowire.Number = iota + 1
+	fieldSerial
+	fieldBlocked
+	fieldCrashes
+	fieldQuiet
+)
+
+const (
+	// reportAgeUnit is the unit of the ages in a report, quietUnit that of the
+	// age in a verdict.
+	reportAgeUnit = time.Millisecond
+	quietUnit     = time.Second
+	// maxReportAge, maxQuiet and maxCrashes limit received values.
+	maxReportAge = time.Hour
+	maxQuiet     = 24 * time.Hour
+	maxCrashes   = 1 << 16
+)
 
 // Fields of a presence.Heartbeat.
 const (
@@ -95,11 +125,13 @@
 	for _, heartbeat := range h.others {
 		message = appendHeartbeat(message, fieldOther, heartbeat)
 	}
-	for _, b := range h.breaks {
-		message = protowire.AppendTag(message, fieldBreak, protowire.BytesType)
-		message = protowire.AppendVarint(message, breakBytes)
-		message = protowire.AppendFixed64(message, b.Fingerprint)
-		message = protowire.AppendFixed64(message, b.Target)
+	for _, r := range h.reports {
+		message = protowire.AppendTag(message, fieldReport, protowire.BytesType)
+		message = protowire.AppendBytes(message, appendReport(nil, r))
+	}
+	for _, v := range h.verdicts {
+		message = protowire.AppendTag(message, fieldVerdict, protowire.BytesType)
+		message = protowire.AppendBytes(message, appendVerdict(nil, v))
 	}
 	for _, o := range h.observations {
 		message = protowire.AppendTag(message, fieldObservation, protowire.BytesType)
@@ -183,10 +215,14 @@
 		var heartbeat presence.Heartbeat
 		heartbeat, err = decodeHeartbeat(body)
 		h.others = append(h.others, heartbeat)
-	case fieldBreak:
-		var b steer.BrokenExchange
-		b, err = decodeBreak(body)
-		h.breaks = append(h.breaks, b)
+	case fieldReport:
+		var r poison.Report
+		r, err = decodeReport(body)
+		h.reports = append(h.reports, r)
+	case fieldVerdict:
+		var v poison.Verdict
+		v, err = decodeVerdict(body)
+		h.verdicts = append(h.verdicts, v)
 	case fieldObservation:
 		var o steer.Observation
 		o, err = decodeObservation(body)
@@ -233,27 +269,8 @@
 // maxLoad limits a received load; the real queues of targets are far shorter.
 const maxLoad = 1 << 16
 
-func decodeObservation(body []byte) (steer.Observation, error) {
-	var o steer.Observation
-	for len(body) > 0 {
-		number, kind, n := protowire.ConsumeTag(body)
-		if n < 0 {
-			return o, errMalformedHeartbeat
-		}
-		body = body[n:]
-		var value uint64
-		switch kind {
-		case protowire.Fixed64Type:
-			value, n = protowire.ConsumeFixed64(body)
-		case protowire.VarintType:
-			value, n = protowire.ConsumeVarint(body)
-		default:
-			return o, errMalformedHeartbeat
-		}
-		if n < 0 {
-			return o, errMalformedHeartbeat
-		}
-		body = body[n:]
+func decodeObservation(body []byte) (o steer.Observation, err error) {
+	err = decodeNumbers(body, func(number protowire.Number, value uint64) {
 		switch number {
 		case fieldTarget:
 			o.Target = value
@@ -273,20 +290,98 @@
 		case fieldLimitAge:
 			o.LimitAge = time.Duration(min(value, uint64(maxLimitAge/limitAgeUnit))) * limitAgeUnit
 		}
-	}
-	return o, nil
+	})
+	return o, err
 }
 
-func decodeBreak(body []byte) (steer.BrokenExchange, error) {
-	fingerprint, n := protowire.ConsumeFixed64(body)
-	if n < 0 || len(body) != breakBytes {
-		return steer.BrokenExchange{}, errMalformedHeartbeat
+// decodeNumbers calls set with each field of a message whose fields are all
+// numbers.
+func decodeNumbers(body []byte, set func(number protowire.Number, value uint64)) error {
+	for len(body) > 0 {
+		number, kind, n := protowire.ConsumeTag(body)
+		if n < 0 {
+			return errMalformedHeartbeat
+		}
+		body = body[n:]
+		var value uint64
+		switch kind {
+		case protowire.Fixed64Type:
+			value, n = protowire.ConsumeFixed64(body)
+		case protowire.VarintType:
+			value, n = protowire.ConsumeVarint(body)
+		default:
+			return errMalformedHeartbeat
+		}
+		if n < 0 {
+			return errMalformedHeartbeat
+		}
+		body = body[n:]
+		set(number, value)
 	}
-	target, n := protowire.ConsumeFixed64(body[n:])
-	if n < 0 {
-		return steer.BrokenExchange{}, errMalformedHeartbeat
+	return nil
+}
+
+func appendReport(dst []byte, r poison.Report) []byte {
+	dst = protowire.AppendTag(dst, fieldReportFingerprint, protowire.Fixed64Type)
+	dst = protowire.AppendFixed64(dst, r.Fingerprint)
+	dst = protowire.AppendTag(dst, fieldReportTarget, protowire.Fixed64Type)
+	dst = protowire.AppendFixed64(dst, r.Target)
+	dst = protowire.AppendTag(dst, fieldSentAgo, protowire.VarintType)
+	dst = protowire.AppendVarint(dst, uint64(r.SentAgo/reportAgeUnit))
+	dst = protowire.AppendTag(dst, fieldBrokenAgo, protowire.VarintType)
+	return protowire.AppendVarint(dst, uint64(r.BrokenAgo/reportAgeUnit))
+}
+
+func decodeReport(body []byte) (r poison.Report, err error) {
+	err = decodeNumbers(body, func(number protowire.Number, value uint64) {
+		switch number {
+		case fieldReportFingerprint:
+			r.Fingerprint = value
+		case fieldReportTarget:
+			r.Target = value
+		case fieldSentAgo:
+			r.SentAgo = time.Duration(min(value, uint64(maxReportAge/reportAgeUnit))) * reportAgeUnit
+		case fieldBrokenAgo:
+			r.BrokenAgo = time.Duration(min(value, uint64(maxReportAge/reportAgeUnit))) * reportAgeUnit
+		}
+	})
+	return r, err
+}
+
+func appendVerdict(dst []byte, v poison.Verdict) []byte {
+	dst = protowire.AppendTag(dst, fieldVerdictFingerprint, protowire.Fixed64Type)
+	dst = protowire.AppendFixed64(dst, v.Fingerprint)
+	for _, field := range []struct {
+		number protowire.Number
+		value  uint64
+	}{
+		{fieldSerial, uint64(v.Serial)}, {fieldBlocked, protowire.EncodeBool(v.Blocked)},
+		{fieldCrashes, uint64(v.Crashes)}, {fieldQuiet, uint64(v.Quiet / quietUnit)},
+	} {
+		if field.value > 0 {
+			dst = protowire.AppendTag(dst, field.number, protowire.VarintType)
+			dst = protowire.AppendVarint(dst, field.value)
+		}
 	}
-	return steer.BrokenExchange{Fingerprint: fingerprint, Target: target}, nil
+	return dst
+}
+
+func decodeVerdict(body []byte) (v poison.Verdict, err error) {
+	err = decodeNumbers(body, func(number protowire.Number, value uint64) {
+		switch number {
+		case fieldVerdictFingerprint:
+			v.Fingerprint = value
+		case fieldSerial:
+			v.Serial = uint32(min(value, math.MaxUint32))
+		case fieldBlocked:
+			v.Blocked = value != 0
+		case fieldCrashes:
+			v.Crashes = int(min(value, maxCrashes))
+		case fieldQuiet:
+			v.Quiet = time.Duration(min(value, uint64(maxQuiet/quietUnit))) * quietUnit
+		}
+	})
+	return v, err
 }
 
 func decodeHeartbeat(body []byte) (presence.Heartbeat, error) {
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 )
@@ -40,7 +41,10 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	is := is.New(t)
 	sent := heartbeatMessage{own: testHeartbeat, others: []presence.Heartbeat{{Name: "b"}, testHeartbeat},
-		breaks: []steer.BrokenExchange{{Fingerprint: 1 << 63, Target: 7}},
+		reports: []poison.Report{{Fingerprint: 1 << 63, Target: 7, SentAgo: 1500 * time.Millisecond, BrokenAgo: 20 * time.Millisecond}},
+		verdicts: []poison.Verdict{
+			{Fingerprint: 1 << 62, Serial: 3, Blocked: true, Crashes: 4, Quiet: 90 * time.Second}, {Fingerprint: 5},
+		},
 		observations: []steer.Observation{{Target: 5, Load: 12}, {Target: 6, Down: true},
 			{Target: 7, Leaving: true, Boot: 1 << 31}, {Target: 8, Limit: 2.25, LimitAge: 300 * time.Millisecond},
 			{Target: 9, Leaving: true, Limit: steer.NoLimit, LimitAge: 20 * time.Second}}}
@@ -49,7 +53,8 @@
 	received, err := decodeHeartbeatMessage(encodeHeartbeatMessage(sent))
 	is.NoErr(err)
 	is.Equal(received, sent)
-	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01", "\x1a\x02ab", "\x22\x01\x09", "\x22\x02\x0a\x00"} {
+	for _, bad := range []string{"", "x", "\x0a\x05ab", "\x08\x01", "\x1a\x02ab", "\x22\x01\x09", "\x22\x02\x0a\x00",
+		"\x2a\x01\x09", "\x32\x01\x09"} {
 		_, err := decodeHeartbeatMessage([]byte(bad))
 		is.True(err != nil)
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
@@ -78,13 +79,13 @@
 
 // send sends a heartbeat to the instances that the table selects. Only those of
 // the own zone get the loads of targets.
-func (p *peers) send(now time.Time, state presence.State, breaks []steer.BrokenExchange, loads, notices []steer.Observation) {
+func (p *peers) send(now time.Time, state presence.State, verdicts []poison.Verdict, loads, notices []steer.Observation) {
 	p.mu.Lock()
 	p.table.SetState(state)
 	own, deliveries := p.table.NextHeartbeat(now)
 	p.mu.Unlock()
 	for _, delivery := range deliveries {
-		message := heartbeatMessage{own: own, others: delivery.Copies, breaks: breaks, observations: notices}
+		message := heartbeatMessage{own: own, others: delivery.Copies, verdicts: verdicts, observations: notices}
 		if delivery.SameZone {
 			message.observations = slices.Concat(notices, loads)
 		}
@@ -168,7 +169,8 @@
 		g.registryProgress.recordPeerVersion(heartbeat.Registry)
 	}
 	g.withEngine(func(e *steer.Engine) {
-		e.RecordBreaks(now, message.breaks)
+		e.Poison().RecordReports(now, message.reports)
+		e.Poison().RecordVerdicts(now, message.verdicts)
 		e.RecordObservations(now, message.own.Name, message.observations)
 	})
 	if g.recordHeartbeats(now, message) && message.own.Zone == g.node.Zone {
@@ -228,19 +230,23 @@
 // It also detects that only this instance has lost the store.
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
-	var breaks []steer.BrokenExchange
+	var messages poison.Messages
 	var loads, notices []steer.Observation
+	live := g.peers.live(now)
 	state := presence.State{
 		Ready: g.ready(), Leaving: g.leaving.Load(), Advertised: g.isAdvertised(),
 		Document: g.operatorProgress.newestVersion(), Registry: g.registryProgress.newestVersion(),
 	}
 	g.guard("observations", func() {
 		g.withEngine(func(e *steer.Engine) {
-			breaks, loads, notices = e.RecentBreaks(now), e.Observations(now), e.SharedNotices(now)
+			e.Poison().SetInstances(names(live))
+			messages = e.Poison().NextMessages(now)
+			loads, notices = e.Observations(now), e.SharedNotices(now)
 			state.Demands, state.ReportsDemands = e.Demands(now)
 		})
 	})
-	g.peers.send(now, state, breaks, loads, notices)
+	g.peers.send(now, state, messages.Repeated, loads, notices)
+	g.peers.sendPoison(live, messages)
 	demands := g.peers.demands(now, g.node.Zones)
 	g.guard("demands", func() { g.withEngine(func(e *steer.Engine) { e.SetPeerDemands(demands) }) })
 	fleet := g.peers.fleet(now)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -465,6 +465,10 @@
 
 // handleRelay responds to a follower's call.
 func (g *Gateway) handleRelay(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == verdictsPath {
+		g.serveVerdicts(ctx)
+		return
+	}
 	name, found := strings.CutPrefix(string(ctx.Path()), relayPath)
 	if !found {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/core/poison"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
@@ -133,6 +134,18 @@
 	}
 }
 
+// logVerdicts counts and logs the requests that began or ceased to be refused
+// since they crash targets.
+func (g *Gateway) logVerdicts(changes []poison.Change) {
+	for _, change := range changes {
+		g.metrics.increment(fmt.Sprintf(`poison_verdicts_total{blocked="%t",received="%t"}`, change.Blocked, change.Received))
+		telemetry.Event("poison_verdict", telemetry.F("fingerprint", formatFingerprint(change.Fingerprint)), telemetry.F("blocked", change.Blocked),
+			telemetry.F("crashes", change.Crashes), telemetry.F("serial", change.Serial), telemetry.F("received", change.Received))
+	}
+}
+
+func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // logExchange logs an exchange that ended with any result but steer.Responded.
 // retried reports whether the request is sent again.
 func (g *Gateway) logExchange(r *request, s *steer.Send, out *outcome, retried bool) {
@@ -142,7 +155,7 @@
 	telemetry.Event("exchange_failed", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("address", s.Address), telemetry.F("zone", s.Zone),
 		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("error", out.err),
-		telemetry.F("forgotten", out.StaleConnection),
+		telemetry.F("forgotten", out.StaleConnection), telemetry.F("fingerprint", formatFingerprint(r.Fingerprint)),
 		telemetry.F("load", oneDecimal(s.Load)), telemetry.F("load_age_ms", s.LoadAge.Milliseconds()),
 		telemetry.F("expected_ms", s.EstimatedCost.Milliseconds()), telemetry.F("document", g.documentVersion()),
 		telemetry.F("took_ms", time.Since(r.arrived).Milliseconds()), telemetry.F("repeated", retried))
@@ -172,6 +185,9 @@
 		telemetry.F("status", status), telemetry.F("reason", reason), telemetry.F("took_ms", took.Milliseconds()),
 		telemetry.F("document", g.documentVersion()), telemetry.F("store_age_ms", g.storeState.age(time.Now()).Milliseconds()),
 	}
+	if reason == steer.ReasonCrasher.String() {
+		line = append(line, telemetry.F("fingerprint", formatFingerprint(r.Fingerprint)))
+	}
 	telemetry.Event("refused", append(line, fields...)...)
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -191,6 +191,9 @@
 	// followers.
 	progress *progress
 	history  *history
+	// beforeTable, if set, runs while the whole table is read, and ends before the
+	// table is applied.
+	beforeTable func(ctx context.Context, src source)
 	// synced is false if the whole table is to be read next.
 	synced bool
 	// next is the version after which changes are to be read.
@@ -464,6 +467,13 @@
 		f.synced = false
 	}
 	snapshot := !f.synced
+	prepared := make(chan struct{})
+	go func() {
+		defer close(prepared)
+		if snapshot && f.beforeTable != nil {
+			f.beforeTable(ctx, src)
+		}
+	}()
 	rows, at, err := f.fetch(ctx, src, afterFailure)
 	switch {
 	case err != nil:
@@ -471,6 +481,7 @@
 	case at.Next < f.next:
 		return false, errStaleResponse
 	}
+	<-prepared
 	now := time.Now()
 	f.synced = true
 	// The response to a held call may have no rows and a version beyond a
@@ -603,6 +614,7 @@
 	known := map[steer.TargetID]bool{}
 	g.followFeed(&feed{
 		table: platform.FeedRegistry, progress: g.registryProgress, history: g.relays.histories[platform.FeedRegistry],
+		beforeTable: func(ctx context.Context, src source) { g.guard("verdicts", func() { g.learnVerdicts(ctx, src) }) },
 		apply: func(now time.Time, _ origin, rows []platform.Row, snapshot bool) {
 			g.applyRegistry(now, platform.DecodeRegistry(rows), snapshot, known)
 		},
