steer: the retries that a large fleet has saved up stay in the budget

When all targets of a service begin to fail after a quiet time, a large fleet sends more retries in 10 s than the budget allows (BUDGET).

Cause: each instance may save up max(share/2, 1) + 2 retries, however small its share of the fixed part is. Class: a limit for all, with a minimum for each.

--- a/core/steer/retry.go
+++ b/core/steer/retry.go
@@ -25,6 +25,10 @@
 	// instances that restart with a full budget and for those that this
 	// instance does not know.
 	extraFraction = 0.5
+	// reserveFraction is the fraction of Extra that all instances together may
+	// have saved up. With what is added in a Window it leaves room as
+	// extraFraction does.
+	reserveFraction = 0.6
 	// burstWindow is about how long a retry that a request earned stays
 	// available. It is a twentieth of the usual Window of 10 s, so that the
 	// retries in a window are at most 1.05 times those that its requests earn.
@@ -53,24 +57,27 @@
 	return b
 }
 
-// extraShare returns this instance's share of RetryRule.Extra.
-func (e *Engine) extraShare() float64 {
-	return e.retry.Extra * extraFraction / float64(max(e.livePeers+1, minAssumedInstances))
+// extraPerInstance returns this instance's part of RetryRule.Extra.
+func (e *Engine) extraPerInstance() float64 {
+	return e.retry.Extra / float64(max(e.livePeers+1, minAssumedInstances))
 }
 
-// refillRetryBudget updates the budget to the current time. Half of extraShare is
-// added evenly over each Window. The tokens are limited to the other half, at
-// least 1, plus 2 and the recent credit.
+// refillRetryBudget updates the budget to the current time. Half of extraFraction
+// of the instance's part is added evenly over each Window. The tokens are limited
+// to the other half, at least 1, plus 2 and the recent credit. In a large fleet
+// the part is so small that reserveFraction limits what is saved up, but to no
+// less than the one token that a retry takes.
 func (e *Engine) refillRetryBudget(now time.Time, b *retryBudget) {
-	share := e.extraShare()
+	part := e.extraPerInstance()
+	half := part * extraFraction / 2
 	if !b.refilledAt.IsZero() {
 		elapsed := now.Sub(b.refilledAt)
-		b.tokens += share / 2 * elapsed.Seconds() / e.retry.Window.Seconds()
+		b.tokens += half * elapsed.Seconds() / e.retry.Window.Seconds()
 		b.recentCredit *= math.Exp(-elapsed.Seconds() / burstWindow.Seconds())
 	}
 	b.refilledAt = now
-	limit := max(share/2, 1) + 2 + b.recentCredit
-	b.tokens = min(b.tokens, limit)
+	reserve := max(1, min(max(half, 1)+2, part*reserveFraction))
+	b.tokens = min(b.tokens, reserve+b.recentCredit)
 }
 
 // creditRequest adds what a new request earns to the retry budget.
