feed: a store that comes back from a copy is followed at once

Cause: versions were compared by the store's counter alone, which goes back with the copy. The table that an instance reads after the 410 was refused as stale until the counter had passed its old value; a call that came after that would have skipped changes. Class: an order that holds only within one life of its source. The era is now the high part of each version, everywhere. The same cause elsewhere: rows of the copy that are older than the known ones or lack them; rows that instances wrote once.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/core/steer"
 )
 
@@ -88,8 +89,8 @@
 	SendsPulses bool
 	// Document and Registry are the versions of the newest changes known to the
 	// instance.
-	Document uint64
-	Registry uint64
+	Document feed.Version
+	Registry feed.Version
 	// Demands are the instance's demands for targets that name limits, if
 	// ReportsDemands is set.
 	ReportsDemands bool
@@ -129,7 +130,7 @@
 	Ready, Leaving bool
 	// Advertised is set if lookups return the instance.
 	Advertised         bool
-	Document, Registry uint64
+	Document, Registry feed.Version
 	// Demands are as in Heartbeat.
 	ReportsDemands bool
 	Demands        []steer.Demand
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/pistachioford/platform"
 )
@@ -76,7 +77,7 @@
 
 // putDocument writes a version of the document and returns the version of its
 // row.
-func (s *site) putDocument(version int) uint64 {
+func (s *site) putDocument(version int) feed.Version {
 	s.t.Helper()
 	s.setDocument(version)
 	_, at, err := platform.NewStore(s.store.Address()).Read(s.t.Context(), platform.FeedOperator)
@@ -104,7 +105,7 @@
 	g := s.startInstance("g")
 	s.startSilentRelay(g)
 	elsewhere := presence.Heartbeat{Name: "elsewhere", Zone: "zb", PeerAddr: "127.0.0.1:1"}
-	report := func(version uint64) {
+	report := func(version feed.Version) {
 		elsewhere.Sequence++
 		elsewhere.Document = version
 		g.handleHeartbeat(heartbeatMessage{own: elsewhere})
@@ -123,7 +124,7 @@
 	delay time.Duration
 }
 
-func (s *slowSource) Watch(ctx context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error) {
+func (s *slowSource) Watch(ctx context.Context, f platform.Feed, after feed.Version, wait time.Duration) ([]platform.Row, platform.Position, error) {
 	time.Sleep(s.delay)
 	return s.scriptedSource.Watch(ctx, f, after, wait)
 }
@@ -133,7 +134,7 @@
 // up the call that would bring the missing ones.
 func TestCallThatClosesAGapIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
-	f := &feed{table: platform.FeedOperator, progress: newProgress(), history: newHistory(), next: 10, synced: true,
+	f := &follower{table: platform.FeedOperator, progress: newProgress(), history: newHistory(platform.FeedOperator), next: 10, synced: true,
 		apply: func(time.Time, origin, []platform.Row, bool) {}}
 	src := &slowSource{delay: 2 * propagationTime, scriptedSource: scriptedSource{responses: []scriptedResponse{
 		{rows: []platform.Row{{Key: "config", Version: 12}}, at: platform.Position{Next: 12, Newest: 12, Covered: 12}},
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -130,7 +130,7 @@
 		if json.Unmarshal(data, &response) != nil {
 			return
 		}
-		h := newHistory()
+		h := newHistory(platform.FeedRegistry)
 		h.update(time.Unix(1000, 0), response.Rows, response.At, true)
 		h.changesSince(0)
 		h.changesSince(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// operatorProgress and registryProgress record how far the two feeds of the
 	// store were read.
 	operatorProgress, registryProgress *progress
+	// restores receives a signal when the store has come back from a copy, for
+	// the rows of instances.
+	restores chan struct{}
 
 	mu sync.Mutex
 	// engine is guarded by mu; withEngine also handles panics.
@@ -74,7 +77,7 @@
 	}
 	g := &Gateway{
 		node: node, boot: time.Now().UnixNano(), storeClient: platform.NewStore(node.Store),
-		operatorProgress: newProgress(), registryProgress: newProgress(),
+		operatorProgress: newProgress(), registryProgress: newProgress(), restores: make(chan struct{}, 1),
 		storeState: newStoreState(), relays: newRelays(), metrics: newMetrics(), pools: newPools(newMemoryBudget(node.MemoryMB)),
 		callers: callerConns{open: map[*callerConn]struct{}{}},
 		failed:  make(chan error, 1), acceptEnded: make(chan struct{}),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/platform/standin"
 )
@@ -460,7 +461,7 @@
 	s.waitFor("relays", func() bool {
 		followers := 0
 		for _, g := range instances {
-			if _, relayed := g.selectSource(&feed{next: 1, progress: g.operatorProgress}, 0); relayed {
+			if _, relayed := g.selectSource(&follower{next: 1, progress: g.operatorProgress}, 0); relayed {
 				followers++
 			}
 		}
@@ -547,7 +548,7 @@
 	is.True(a.isAdvertised() && b.isAdvertised() && !weak.isAdvertised()) // only advertised instances keep standby connections
 	readers := map[platform.Feed]int{}
 	for _, g := range []*Gateway{a, b, weak} {
-		for _, f := range []*feed{{table: platform.FeedOperator, next: 1, progress: g.operatorProgress}, {table: platform.FeedRegistry, next: 1, progress: g.registryProgress}} {
+		for _, f := range []*follower{{table: platform.FeedOperator, next: 1, progress: g.operatorProgress}, {table: platform.FeedRegistry, next: 1, progress: g.registryProgress}} {
 			_, relayed := g.selectSource(f, 0)
 			if !relayed {
 				readers[f.table]++
@@ -681,7 +682,7 @@
 // respond to it without rows and with a version beyond the change.
 func TestChangeThatAHeldCallMissedIsRead(t *testing.T) {
 	is := is.New(t)
-	f := &feed{table: platform.FeedOperator, progress: newProgress(), history: newHistory(),
+	f := &follower{table: platform.FeedOperator, progress: newProgress(), history: newHistory(platform.FeedOperator),
 		apply: func(time.Time, origin, []platform.Row, bool) {}}
 	src := &scriptedSource{responses: []scriptedResponse{
 		{at: platform.Position{Next: 10}},
@@ -695,14 +696,14 @@
 		_, err := f.poll(context.Background(), src, false)
 		is.NoErr(err)
 	}
-	is.Equal(src.requestedVersions, []uint64{0, 10, 10, 16})
+	is.Equal(src.requestedVersions, []feed.Version{0, 10, 10, 16})
 	// Other instances know a newer change that the feed does not show.
 	f.progress.recordPeerVersion(14)
 	_, err := f.poll(context.Background(), src, true)
 	is.NoErr(err)
 	_, err = f.poll(context.Background(), src, true)
 	is.NoErr(err)
-	is.Equal(src.requestedVersions[4:], []uint64{16, 0}) // the whole table is read
+	is.Equal(src.requestedVersions[4:], []feed.Version{16, 0}) // the whole table is read
 }
 
 // Guards against an instance that is treated as behind its peers after a
@@ -717,8 +718,8 @@
 	store.Put("servers", "i-2", []byte("{}"))
 	store.Remove("servers", "i-2")
 	apply := func(time.Time, origin, []platform.Row, bool) {}
-	readAfterRestart := func(src source, peerVersion uint64) *feed {
-		f := &feed{table: platform.FeedRegistry, progress: newProgress(), history: newHistory(), apply: apply}
+	readAfterRestart := func(src source, peerVersion feed.Version) *follower {
+		f := &follower{table: platform.FeedRegistry, progress: newProgress(), history: newHistory(platform.FeedRegistry), apply: apply}
 		f.progress.recordPeerVersion(peerVersion)
 		_, err := f.poll(context.Background(), src, false)
 		is.NoErr(err)
@@ -751,7 +752,7 @@
 // versions asked for.
 type scriptedSource struct {
 	responses         []scriptedResponse
-	requestedVersions []uint64
+	requestedVersions []feed.Version
 }
 
 func (s *scriptedSource) Name() string { return "script" }
@@ -760,7 +761,7 @@
 	return s.Watch(ctx, f, 0, 0)
 }
 
-func (s *scriptedSource) Watch(_ context.Context, _ platform.Feed, after uint64, _ time.Duration) ([]platform.Row, platform.Position, error) {
+func (s *scriptedSource) Watch(_ context.Context, _ platform.Feed, after feed.Version, _ time.Duration) ([]platform.Row, platform.Position, error) {
 	response := s.responses[len(s.requestedVersions)]
 	s.requestedVersions = append(s.requestedVersions, after)
 	return response.rows, response.at, nil
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
@@ -103,6 +104,7 @@
 	fieldMilliCPU
 	fieldLinkMbps
 	fieldDemand
+	fieldEra
 )
 
 const (
@@ -170,9 +172,11 @@
 		body = protowire.AppendTag(body, fieldDemand, protowire.BytesType)
 		body = protowire.AppendBytes(body, demand)
 	}
+	// A version of an earlier era tells nothing: it is older than all of this one.
+	era := max(b.Document, b.Registry).Era()
 	for number, value := range map[protowire.Number]uint64{
-		fieldBoot: uint64(b.Boot), fieldSequence: b.Sequence, fieldFlags: flags,
-		fieldDocument: b.Document, fieldRegistry: b.Registry,
+		fieldBoot: uint64(b.Boot), fieldSequence: b.Sequence, fieldFlags: flags, fieldEra: era,
+		fieldDocument: counterIn(era, b.Document), fieldRegistry: counterIn(era, b.Registry),
 		fieldMilliCPU: uint64(b.MilliCPU), fieldLinkMbps: uint64(b.LinkMbps),
 	} {
 		body = protowire.AppendTag(body, number, protowire.VarintType)
@@ -182,6 +186,14 @@
 	return protowire.AppendBytes(dst, body)
 }
 
+// counterIn returns the counter of a version of an era, or 0.
+func counterIn(era uint64, v feed.Version) uint64 {
+	if v.Era() != era {
+		return 0
+	}
+	return v.Counter()
+}
+
 var errMalformedHeartbeat = errors.New("malformed heartbeat")
 
 func decodeHeartbeatMessage(message []byte) (heartbeatMessage, error) {
@@ -386,6 +398,7 @@
 
 func decodeHeartbeat(body []byte) (presence.Heartbeat, error) {
 	var b presence.Heartbeat
+	var era uint64
 	for len(body) > 0 {
 		number, kind, n := protowire.ConsumeTag(body)
 		if n < 0 {
@@ -407,6 +420,9 @@
 			if m < 0 {
 				return b, errMalformedHeartbeat
 			}
+			if number == fieldEra {
+				era = value
+			}
 			setVarintField(&b, number, value)
 			n = m
 		default:
@@ -414,9 +430,18 @@
 		}
 		body = body[n:]
 	}
+	b.Document, b.Registry = versionIn(era, b.Document), versionIn(era, b.Registry)
 	return b, nil
 }
 
+// versionIn returns the version of an era with the counter of v, if it has one.
+func versionIn(era uint64, v feed.Version) feed.Version {
+	if v.Counter() == 0 {
+		return 0
+	}
+	return feed.NewVersion(era, v.Counter())
+}
+
 // packAddress encodes an IP address and port, in 6 bytes for IPv4; as text they
 // take up to 21.
 func packAddress(address string) []byte {
@@ -500,9 +525,9 @@
 		b.SendsPulses = value&flagSendsPulses != 0
 		b.ReportsDemands = value&flagReportsDemands != 0
 	case fieldDocument:
-		b.Document = value
+		b.Document = feed.NewVersion(0, value)
 	case fieldRegistry:
-		b.Registry = value
+		b.Registry = feed.NewVersion(0, value)
 	case fieldMilliCPU:
 		b.MilliCPU = int(min(value, maxMachineSize))
 	case fieldLinkMbps:
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -275,7 +275,18 @@
 		if err == nil || !g.node.FirstStart {
 			g.peers.closeGreeted()
 		}
-		pause(g.ctx, period)
+		g.pauseUntilRestore(period)
+	}
+}
+
+// pauseUntilRestore waits for d, or until the store has come back from a copy.
+func (g *Gateway) pauseUntilRestore(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-g.ctx.Done():
+	case <-timer.C:
+	case <-g.restores:
 	}
 }
 
@@ -288,13 +299,17 @@
 		if relayAddress(g.self(), g.peers.live(time.Now())) != "" {
 			return nil
 		}
-		_, err := g.readMembers()
-		return err
+		read, err := g.readMembers()
+		if err != nil {
+			return err
+		}
+		return g.restoreMembers(read)
 	}
 	if !g.node.FirstStart {
 		// The row of an earlier start may still hold. Writes of a whole fleet
 		// that starts again would wait for each other.
-		current, err := g.readMembers()
+		read, err := g.readMembers()
+		current := read[g.node.Name] == g.memberRow()
 		if err != nil || current || g.leaving.Load() {
 			*registered = current
 			return err
@@ -302,7 +317,7 @@
 	}
 	// The row is written before the others are read, so that of two instances
 	// at least one finds the other.
-	if err := g.storeClient.WriteMember(g.ctx, g.memberRow()); err != nil {
+	if err := g.storeClient.WriteMembers(g.ctx, g.memberRow()); err != nil {
 		return err
 	}
 	*registered = true
@@ -360,35 +375,55 @@
 	}
 }
 
-func (g *Gateway) memberRow() platform.Member {
-	self := g.self()
+// restoreMembers writes the rows of this instance and of the live ones of its
+// zone that are missing among those read: the store has lost them.
+func (g *Gateway) restoreMembers(read map[string]platform.Member) error {
+	if g.leaving.Load() {
+		return nil
+	}
+	var missing []platform.Member
+	for _, instance := range append(g.peers.live(time.Now()), g.self()) {
+		if _, found := read[instance.Name]; !found && instance.Zone == g.node.Zone {
+			missing = append(missing, memberOf(instance))
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	telemetry.Event("members_restored", telemetry.F("rows", len(missing)))
+	return g.storeClient.WriteMembers(g.ctx, missing...)
+}
+
+func (g *Gateway) memberRow() platform.Member { return memberOf(g.self()) }
+
+func memberOf(instance presence.Heartbeat) platform.Member {
 	return platform.Member{
-		Name: self.Name, Requests: self.RequestAddr, Peers: self.PeerAddr, Zone: self.Zone, Boot: self.Boot,
-		MilliCPU: self.MilliCPU, LinkMbps: self.LinkMbps,
+		Name: instance.Name, Requests: instance.RequestAddr, Peers: instance.PeerAddr, Zone: instance.Zone, Boot: instance.Boot,
+		MilliCPU: instance.MilliCPU, LinkMbps: instance.LinkMbps,
 	}
 }
 
-// readMembers reads the rows of all instances and greets those of the zone.
-// current reports whether this instance's own row is among them and holds.
-func (g *Gateway) readMembers() (current bool, err error) {
+// readMembers reads the rows of all instances and greets those of the zone. It
+// returns the rows by name, that of this instance with its present boot.
+func (g *Gateway) readMembers() (map[string]platform.Member, error) {
 	members, refused, err := g.storeClient.ReadMembers(g.ctx)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	for _, err := range refused {
 		telemetry.Failure("member_refused", err)
 	}
-	own := g.memberRow()
+	read := make(map[string]platform.Member, len(members))
 	for _, m := range members {
-		if m.Name == own.Name {
+		if m.Name == g.node.Name {
 			// Only heartbeats need the newest boot.
-			m.Boot = own.Boot
-			current = m == own
+			m.Boot = g.boot
 		}
+		read[m.Name] = m
 	}
 	g.peers.addMembers(members)
 	g.peers.greet(time.Now())
-	return current, nil
+	return read, nil
 }
 
 func (p *peers) addMembers(members []platform.Member) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/pistachioford/platform"
 )
@@ -50,8 +51,6 @@
 	relayTimeoutMargin = 700 * time.Millisecond
 	// maxRelayWait limits how long a relay holds a call.
 	maxRelayWait = 30 * time.Second
-	// tombstoneTTL is how long removed rows are kept for followers.
-	tombstoneTTL = time.Minute
 	// maxRelayResponse limits the body of a relay's response.
 	maxRelayResponse = 16 << 20
 )
@@ -59,13 +58,8 @@
 // history is the state of a feed, from which a relay responds to its followers.
 // It is safe for concurrent use.
 type history struct {
-	mu   sync.Mutex
-	rows map[string]platform.Row
-	// removedAt is when each tombstone was added.
-	removedAt map[string]time.Time
-	position  platform.Position
-	// prunedVersion is the version up to which tombstones were dropped.
-	prunedVersion uint64
+	mu    sync.Mutex
+	state *feed.Table
 	// changed is closed at the next update.
 	changed chan struct{}
 	// table is the encoded response to a call for all rows, nil if it has not
@@ -73,78 +67,38 @@
 	table []byte
 }
 
-func newHistory() *history {
-	return &history{rows: map[string]platform.Row{}, removedAt: map[string]time.Time{}, changed: make(chan struct{})}
+func newHistory(f platform.Feed) *history {
+	return &history{state: feed.NewTable(f.CompareRows), changed: make(chan struct{})}
 }
 
-// update applies rows. snapshot means that they are the whole table.
-func (h *history) update(now time.Time, rows []platform.Row, at platform.Position, snapshot bool) {
+// update applies rows; whole means that they are the whole table.
+func (h *history) update(now time.Time, rows []platform.Row, at platform.Position, whole bool) feed.Update {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if snapshot {
-		h.markMissingRemoved(now, rows, at)
-	}
-	for _, row := range rows {
-		h.rows[row.Key] = row
-		delete(h.removedAt, row.Key)
-		if row.Deleted {
-			h.removedAt[row.Key] = now
-		}
-	}
-	h.position.Next = max(h.position.Next, at.Next)
-	h.position.Newest = max(h.position.Newest, at.Newest)
-	h.position.Covered = max(h.position.Covered, at.Covered)
-	h.pruneTombstones(now)
+	u := h.state.Apply(now, rows, at, whole)
 	h.table = nil
-	if snapshot || len(rows) > 0 {
+	if whole || len(rows) > 0 {
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
+	return u
 }
 
-// markMissingRemoved replaces rows that a snapshot no longer contains by
-// tombstones.
-func (h *history) markMissingRemoved(now time.Time, rows []platform.Row, at platform.Position) {
-	present := make(map[string]bool, len(rows))
-	for _, row := range rows {
-		present[row.Key] = true
-	}
-	for key, row := range h.rows {
-		if !present[key] && !row.Deleted {
-			h.rows[key] = platform.Row{Key: key, Version: at.Next, Deleted: true}
-			h.removedAt[key] = now
-		}
-	}
-}
-
-// pruneTombstones drops tombstones older than tombstoneTTL.
-func (h *history) pruneTombstones(now time.Time) {
-	for key, at := range h.removedAt {
-		if now.Sub(at) > tombstoneTTL {
-			h.prunedVersion = max(h.prunedVersion, h.rows[key].Version)
-			delete(h.rows, key)
-			delete(h.removedAt, key)
-		}
-	}
+// checkAt returns when the whole table is to be read again, or the zero time.
+func (h *history) checkAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.CheckAt()
 }
 
 // changesSince returns the rows that changed after a version, or all rows for
 // version 0, and a channel that is closed at the next change. It returns false
 // if removed rows may be missing.
-func (h *history) changesSince(after uint64) ([]platform.Row, platform.Position, <-chan struct{}, bool) {
+func (h *history) changesSince(after feed.Version) ([]platform.Row, platform.Position, <-chan struct{}, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if after > 0 && after < h.prunedVersion {
-		return nil, platform.Position{}, nil, false
-	}
-	var rows []platform.Row
-	for _, row := range h.rows {
-		if row.Version > after && (after > 0 || !row.Deleted) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return int(int64(a.Version) - int64(b.Version)) })
-	return rows, h.position, h.changed, true
+	rows, complete := h.state.ChangesSince(after)
+	return rows, h.state.Position(), h.changed, complete
 }
 
 // relays holds the feeds that this instance relays, and the client for its own
@@ -160,7 +114,7 @@
 
 func newRelays() *relays {
 	return &relays{
-		histories: [2]*history{newHistory(), newHistory()},
+		histories: [2]*history{newHistory(platform.FeedOperator), newHistory(platform.FeedRegistry)},
 		client: fasthttp.Client{
 			MaxResponseBodySize: maxRelayResponse, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -210,7 +164,7 @@
 // selectSource returns where the next call of a feed goes; relayed reports
 // whether that is another instance. failures is 0 after a success, and counted
 // by nextFailures since.
-func (g *Gateway) selectSource(f *feed, failures int) (src source, relayed bool) {
+func (g *Gateway) selectSource(f *follower, failures int) (src source, relayed bool) {
 	now := time.Now()
 	live := g.peers.live(now)
 	address, acceptsStale := "", false
@@ -243,7 +197,7 @@
 // newerPeer returns the address of a live instance that knows a change which the
 // feed does not cover, or an empty string. It prefers the own zone. Instances
 // choose different ones, so that none has to serve a whole fleet.
-func (g *Gateway) newerPeer(f *feed, live []presence.Heartbeat) string {
+func (g *Gateway) newerPeer(f *follower, live []presence.Heartbeat) string {
 	var newer []presence.Heartbeat
 	for _, heartbeat := range live {
 		version := heartbeat.Document
@@ -353,10 +307,27 @@
 	return candidates
 }
 
-// relayResponse is the body of a relay's response.
+// relayResponse is the body of a relay's response. Versions are encoded as
+// counters of one era.
 type relayResponse struct {
 	Rows []platform.Row    `json:"rows"`
 	At   platform.Position `json:"at"`
+	Era  uint64            `json:"era,omitempty"`
+}
+
+// encodeRelayResponse encodes rows and the position after them.
+func encodeRelayResponse(rows []platform.Row, at platform.Position) ([]byte, error) {
+	r := relayResponse{Rows: slices.Clone(rows), At: at, Era: at.Next.Era()}
+	r.mapVersions(func(v feed.Version) feed.Version { return feed.Version(v.Counter()) })
+	return json.Marshal(r)
+}
+
+// mapVersions replaces all versions.
+func (r *relayResponse) mapVersions(replace func(feed.Version) feed.Version) {
+	for i := range r.Rows {
+		r.Rows[i].Version = replace(r.Rows[i].Version)
+	}
+	r.At = platform.Position{Next: replace(r.At.Next), Newest: replace(r.At.Newest), Covered: replace(r.At.Covered)}
 }
 
 // relaySource reads feeds from a relay.
@@ -374,11 +345,12 @@
 	return s.Watch(ctx, f, 0, relayStartWait)
 }
 
-func (s *relaySource) Watch(_ context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error) {
+func (s *relaySource) Watch(_ context.Context, f platform.Feed, after feed.Version, wait time.Duration) ([]platform.Row, platform.Position, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?after=%d&wait_ms=%d&stale=%t", s.address, relayPath, f, after, wait.Milliseconds(), s.acceptsStale))
+	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?after=%d&era=%d&wait_ms=%d&stale=%t",
+		s.address, relayPath, f, after.Counter(), after.Era(), wait.Milliseconds(), s.acceptsStale))
 	margin := relayTimeoutMargin
 	if after == 0 {
 		margin = tableTimeoutMargin
@@ -410,8 +382,11 @@
 			return relayResponse{}, err
 		}
 	}
-	err = json.Unmarshal(body, &response)
-	return response, err
+	if err = json.Unmarshal(body, &response); err != nil {
+		return relayResponse{}, err
+	}
+	response.mapVersions(func(v feed.Version) feed.Version { return feed.NewVersion(response.Era, uint64(v)) })
+	return response, nil
 }
 
 func decompressTable(body []byte) ([]byte, error) {
@@ -440,7 +415,7 @@
 		return table, nil
 	}
 	rows, at, _, _ := h.changesSince(0)
-	encoded, err := json.Marshal(relayResponse{Rows: rows, At: at})
+	encoded, err := encodeRelayResponse(rows, at)
 	if err != nil {
 		return nil, err
 	}
@@ -457,7 +432,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.position == at {
+	if h.state.Position() == at {
 		h.table = compressed.Bytes()
 	}
 	return compressed.Bytes(), nil
@@ -490,7 +465,7 @@
 // or from any at all if the caller cannot reach the store either.
 func (g *Gateway) serveFollower(ctx *fasthttp.RequestCtx, table platform.Feed) {
 	h := g.relays.histories[table]
-	after, afterErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	after, afterErr := followerVersion(ctx.QueryArgs())
 	waitMS, waitErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("wait_ms")), 10, 32)
 	if afterErr != nil || waitErr != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -517,7 +492,7 @@
 	// The follower may have read from the store before, and be ahead: versions
 	// also grow with changes of other tables.
 	at.Next = max(at.Next, after)
-	body, err := json.Marshal(relayResponse{Rows: rows, At: at})
+	body, err := encodeRelayResponse(rows, at)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -526,6 +501,16 @@
 	ctx.SetBody(body)
 }
 
+// followerVersion returns the version after which a follower asks for changes.
+func followerVersion(args *fasthttp.Args) (feed.Version, error) {
+	counter, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	if err != nil || !args.Has("era") {
+		return feed.NewVersion(0, counter), err
+	}
+	era, err := strconv.ParseUint(string(args.Peek("era")), 10, 64)
+	return feed.NewVersion(era, counter), err
+}
+
 // canRelayChanges reports whether this instance follows a table from the store,
 // and reaches it.
 func (g *Gateway) canRelayChanges(table platform.Feed) bool {
@@ -560,7 +545,7 @@
 // waitForChanges returns the rows that changed after a version. It waits for a
 // change if there is none yet, unless this instance has lost the store. complete
 // is false if removed rows may be missing.
-func (g *Gateway) waitForChanges(h *history, after uint64, wait time.Duration) (rows []platform.Row, at platform.Position, complete bool) {
+func (g *Gateway) waitForChanges(h *history, after feed.Version, wait time.Duration) (rows []platform.Row, at platform.Position, complete bool) {
 	rows, at, changed, complete := h.changesSince(after)
 	if complete && len(rows) == 0 {
 		g.waitFor(changed, g.storeState.whenLost(), wait)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -124,10 +125,10 @@
 // zone start at the same time and read its tables.
 func TestTableIsEncodedOnceAndSmall(t *testing.T) {
 	is := is.New(t)
-	h := newHistory()
+	h := newHistory(platform.FeedRegistry)
 	var rows []platform.Row
 	for i := range 3000 {
-		rows = append(rows, platform.Row{Key: fmt.Sprintf("i-%d", i), Version: uint64(i + 1), Value: fmt.Appendf(nil,
+		rows = append(rows, platform.Row{Key: fmt.Sprintf("i-%d", i), Version: feed.Version(i + 1), Value: fmt.Appendf(nil,
 			`{"address":"10.1.0.%d:80","born":1,"info":{"service":"s","zone":"za","capacity":3},"status":{"state":"ready","seq":%d,"cold_left":"0ms"}}`, i%250, i)})
 	}
 	at := platform.Position{Next: 3000, Newest: 3000, Covered: 3000}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc/panics"
 
+	"pistachioford.example/core/feed"
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
@@ -158,6 +159,14 @@
 	s.localOutage = s.localOutage || s.down
 }
 
+// recordRestore records that the store has come back from a copy. Entries that
+// are missing there are written again, as after an outage.
+func (s *storeState) recordRestore(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recoveredAt = now
+}
+
 // removalGrace returns how much longer a target stays in use after its entry
 // disappeared.
 func (s *storeState) removalGrace(now time.Time) time.Duration {
@@ -180,11 +189,11 @@
 	// Name identifies the source in logs.
 	Name() string
 	Read(ctx context.Context, f platform.Feed) ([]platform.Row, platform.Position, error)
-	Watch(ctx context.Context, f platform.Feed, after uint64, wait time.Duration) ([]platform.Row, platform.Position, error)
+	Watch(ctx context.Context, f platform.Feed, after feed.Version, wait time.Duration) ([]platform.Row, platform.Position, error)
 }
 
-// feed follows one table of the store. One goroutine uses it.
-type feed struct {
+// follower follows one table of the store. One goroutine uses it.
+type follower struct {
 	table platform.Feed
 	apply func(now time.Time, origin origin, rows []platform.Row, snapshot bool)
 	// progress is shared with the heartbeats, history with the responses to
@@ -197,7 +206,9 @@
 	// synced is false if the whole table is to be read next.
 	synced bool
 	// next is the version after which changes are to be read.
-	next uint64
+	next feed.Version
+	// restored is called when the store has come back from a copy.
+	restored func(now time.Time)
 }
 
 // origin says where rows came from, and how late they are known to be.
@@ -213,7 +224,7 @@
 	mu sync.Mutex
 	// newest is the version of the newest change that was read, covered the one
 	// up to which no change is missing.
-	newest, covered uint64
+	newest, covered feed.Version
 	// ahead holds the versions that other instances reported and that are not
 	// covered here, in increasing order.
 	ahead []peerVersion
@@ -228,7 +239,7 @@
 // peerVersion is a version that another instance reported, and when it first
 // did.
 type peerVersion struct {
-	version    uint64
+	version    feed.Version
 	reportedAt time.Time
 }
 
@@ -277,14 +288,14 @@
 func (p *progress) isOverdue(now time.Time) bool { return p.behindFor(now) >= propagationTime }
 
 // covers reports whether all changes up to a version are known.
-func (p *progress) covers(version uint64) bool {
+func (p *progress) covers(version feed.Version) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.covered >= version
 }
 
 // newestVersion returns the version that heartbeats report.
-func (p *progress) newestVersion() uint64 {
+func (p *progress) newestVersion() feed.Version {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.newest
@@ -292,7 +303,7 @@
 
 // recordPeerVersion records the version that another instance reports. If this
 // instance does not reach it within propagationTime, a wait of its feed ends.
-func (p *progress) recordPeerVersion(version uint64) {
+func (p *progress) recordPeerVersion(version feed.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version <= p.covered || len(p.ahead) > 0 && version <= p.ahead[len(p.ahead)-1].version {
@@ -373,7 +384,7 @@
 }
 
 // followFeed reads a feed until the instance stops.
-func (g *Gateway) followFeed(f *feed) {
+func (g *Gateway) followFeed(f *follower) {
 	failures := 0
 	for g.ctx.Err() == nil {
 		if failures == 0 && f.progress.isOverdue(time.Now()) {
@@ -442,7 +453,7 @@
 
 // failuresAfterSuccess returns the failure count after a call that succeeded. A
 // call that did not bring what others have had for long is treated as failed.
-func (f *feed) failuresAfterSuccess(now time.Time, failures int, relayed bool) int {
+func (f *follower) failuresAfterSuccess(now time.Time, failures int, relayed bool) int {
 	if failures > 0 && f.progress.isOverdue(now) {
 		return nextFailures(failures, relayed)
 	}
@@ -461,11 +472,14 @@
 // poll makes one call and applies the result. afterFailure means that the last
 // call failed: the source is then not asked to hold this one, since its loss
 // would go unnoticed.
-func (f *feed) poll(ctx context.Context, src source, afterFailure bool) (changed bool, err error) {
+func (f *follower) poll(ctx context.Context, src source, afterFailure bool) (changed bool, err error) {
 	if isAnyInstance(src) {
 		// Only the whole table shows what was removed meanwhile.
 		f.synced = false
 	}
+	if check := f.history.checkAt(); !check.IsZero() && !time.Now().Before(check) {
+		f.synced = false
+	}
 	snapshot := !f.synced
 	prepared := make(chan struct{})
 	go func() {
@@ -490,8 +504,12 @@
 	if snapshot || len(rows) > 0 {
 		f.next = at.Next
 		// An engine that is rebuilt meanwhile needs the rows.
-		f.history.update(now, rows, at, snapshot)
-		f.apply(now, origin{src.Name(), f.progress.behindFor(now)}, rows, snapshot)
+		update := f.history.update(now, rows, at, snapshot)
+		if update.Restored {
+			telemetry.Event("store_restored", telemetry.F("feed", f.table), telemetry.F("source", src.Name()), telemetry.F("version", at.Next))
+			f.restored(now)
+		}
+		f.apply(now, origin{src.Name(), f.progress.behindFor(now)}, update.Rows, update.Whole)
 		f.progress.advance(at)
 	}
 	if afterFailure && !snapshot && f.progress.isBehind() {
@@ -503,9 +521,13 @@
 
 // fetch reads the whole table or its changes. The call runs in the background,
 // so that it can be given up.
-func (f *feed) fetch(ctx context.Context, src source, afterFailure bool) ([]platform.Row, platform.Position, error) {
+func (f *follower) fetch(ctx context.Context, src source, afterFailure bool) ([]platform.Row, platform.Position, error) {
 	// A call that was given up goes on while the feed does, so it gets copies.
 	table, after, synced := f.table, f.next, f.synced
+	wait := maxLongPollWait/2 + rand.N(maxLongPollWait/2)
+	if check := f.history.checkAt(); !check.IsZero() {
+		wait = min(wait, max(time.Until(check), 0))
+	}
 	call := func() ([]platform.Row, platform.Position, error) {
 		switch {
 		case !synced:
@@ -513,7 +535,7 @@
 		case afterFailure:
 			return src.Watch(ctx, table, after, 0)
 		default:
-			return src.Watch(ctx, table, after, maxLongPollWait/2+rand.N(maxLongPollWait/2))
+			return src.Watch(ctx, table, after, wait)
 		}
 	}
 	type outcome struct {
@@ -551,14 +573,26 @@
 	return limit/2 + rand.N(limit/2)
 }
 
+// recordRestore takes note that the store has come back from a copy, once for
+// each feed: what this instance wrote there may be lost.
+func (g *Gateway) recordRestore(now time.Time) {
+	g.metrics.increment("store_restores_total")
+	g.storeState.recordRestore(now)
+	g.guard("verdicts", func() { g.withEngine(func(e *steer.Engine) { e.Poison().SaveAgain() }) })
+	select {
+	case g.restores <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gateway) watchDocument() {
 	// After a restart callers wait, and the document is small.
 	if g.node.FirstStart {
 		g.awaitMembers()
 	}
-	g.followFeed(&feed{
+	g.followFeed(&follower{
 		table: platform.FeedOperator, apply: g.applyOperator,
-		progress: g.operatorProgress, history: g.relays.histories[platform.FeedOperator],
+		progress: g.operatorProgress, history: g.relays.histories[platform.FeedOperator], restored: g.recordRestore,
 	})
 }
 
@@ -612,8 +646,8 @@
 func (g *Gateway) watchRegistry() {
 	g.awaitMembers()
 	known := map[steer.TargetID]bool{}
-	g.followFeed(&feed{
-		table: platform.FeedRegistry, progress: g.registryProgress, history: g.relays.histories[platform.FeedRegistry],
+	g.followFeed(&follower{
+		table: platform.FeedRegistry, progress: g.registryProgress, history: g.relays.histories[platform.FeedRegistry], restored: g.recordRestore,
 		beforeTable: func(ctx context.Context, src source) { g.guard("verdicts", func() { g.learnVerdicts(ctx, src) }) },
 		apply: func(now time.Time, _ origin, rows []platform.Row, snapshot bool) {
 			g.applyRegistry(now, platform.DecodeRegistry(rows), snapshot, known)
