gateway: an instance that has lost the store is replaced as a reader of it

Class: a role that is given by rank, to members that cannot fill it.

Heartbeats say that their sender has lost the store for a second; relays and the other readers are chosen among those that have not. An instance that becomes a reader ends the call that its relay holds.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -85,6 +85,8 @@
 	// Ready is set if the instance serves requests.
 	Ready   bool
 	Leaving bool
+	// StoreLost is set while the instance cannot reach the store.
+	StoreLost bool
 	// SendsPulses is set if the instance sends pulses to all others of its zone.
 	SendsPulses bool
 	// Document and Registry are the versions of the newest changes known to the
@@ -128,6 +130,8 @@
 // State is what an instance reports of itself in its heartbeats.
 type State struct {
 	Ready, Leaving bool
+	// StoreLost is as in Heartbeat.
+	StoreLost bool
 	// Advertised is set if lookups return the instance.
 	Advertised         bool
 	Document, Registry feed.Version
@@ -149,7 +153,7 @@
 
 // SetState sets what the heartbeats of this instance report.
 func (t *Table) SetState(s State) {
-	t.self.Ready, t.self.Leaving = s.Ready, s.Leaving
+	t.self.Ready, t.self.Leaving, t.self.StoreLost = s.Ready, s.Leaving, s.StoreLost
 	// Pulses to all others of a crowded zone would cost too much.
 	t.self.SendsPulses = s.Advertised && !t.crowded
 	t.self.Document, t.self.Registry = s.Document, s.Registry
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// verdictsKnown is set once this instance knows which requests the others
 	// refuse since they crash targets.
 	verdictsKnown atomic.Bool
+	// hasRelay is set while this instance follows the document from another one.
+	hasRelay atomic.Bool
 	// drain is set during a planned stop.
 	drain atomic.Pointer[steer.DrainPlan]
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,29 +26,36 @@
 {"resource_kind":"services","metadata":{"name":"s"},"spec":{"health_path":"/health","max_conns":100,"warmup":"1s","cold_per_s":6}},
 {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":8000000,"header_timeout":"1000ms","idle_timeout":"3000ms"}}]}`
 
+// nextPort is the port that freePorts tries next. It stays below the ports that
+// systems use for outgoing connections, which could take a port before the
+// instance does, and differs between test processes.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(12_000 + os.Getpid()%100*190)) }
+
 // freePorts returns ports that are free for TCP and UDP on 127.0.0.1.
 func freePorts(t *testing.T, n int) []int {
 	t.Helper()
 	var ports []int
-	var closers []io.Closer
-	for len(ports) < n {
-		tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range 10_000 {
+		if len(ports) == n {
+			return ports
+		}
+		port := int(12_000 + nextPort.Add(1)%20_000)
+		tcp, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		closers = append(closers, tcp)
-		port := tcp.Addr().(*net.TCPAddr).Port
 		udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		_ = tcp.Close()
 		if err != nil {
 			continue
 		}
-		closers = append(closers, udp)
+		_ = udp.Close()
 		ports = append(ports, port)
 	}
-	for _, closer := range closers {
-		_ = closer.Close()
-	}
-	return ports
+	t.Fatal("no free ports")
+	return nil
 }
 
 // site is a stand-in store with targets and instances on loopback addresses.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -112,6 +112,7 @@
 	flagLeaving
 	flagSendsPulses
 	flagReportsDemands
+	flagStoreLost
 )
 
 // Fields of a demand. The rate is in tenths of a request per second.
@@ -164,6 +165,9 @@
 	if b.ReportsDemands {
 		flags |= flagReportsDemands
 	}
+	if b.StoreLost {
+		flags |= flagStoreLost
+	}
 	for _, d := range b.Demands {
 		demand := protowire.AppendTag(nil, fieldDemandGroup, protowire.Fixed32Type)
 		demand = protowire.AppendFixed32(demand, d.Group)
@@ -524,6 +528,7 @@
 		b.Leaving = value&flagLeaving != 0
 		b.SendsPulses = value&flagSendsPulses != 0
 		b.ReportsDemands = value&flagReportsDemands != 0
+		b.StoreLost = value&flagStoreLost != 0
 	case fieldDocument:
 		b.Document = feed.NewVersion(0, value)
 	case fieldRegistry:
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -48,7 +48,7 @@
 		observations: []steer.Observation{{Target: 5, Load: 12}, {Target: 6, Down: true},
 			{Target: 7, Leaving: true, Boot: 1 << 31}, {Target: 8, Limit: 2.25, LimitAge: 300 * time.Millisecond},
 			{Target: 9, Leaving: true, Limit: steer.NoLimit, LimitAge: 20 * time.Second}}}
-	sent.own.ReportsDemands = true
+	sent.own.ReportsDemands, sent.own.StoreLost = true, true
 	sent.own.Demands = []steer.Demand{{Group: 1 << 31, PerSecond: 12.5}, {Group: 7, PerSecond: 0.5}}
 	received, err := decodeHeartbeatMessage(encodeHeartbeatMessage(sent))
 	is.NoErr(err)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -234,7 +234,7 @@
 	var loads, notices []steer.Observation
 	live := g.peers.live(now)
 	state := presence.State{
-		Ready: g.ready(), Leaving: g.leaving.Load(), Advertised: g.isAdvertised(),
+		Ready: g.ready(), Leaving: g.leaving.Load(), StoreLost: isClosed(g.storeState.whenLost()), Advertised: g.isAdvertised(),
 		Document: g.operatorProgress.newestVersion(), Registry: g.registryProgress.newestVersion(),
 	}
 	g.guard("observations", func() {
@@ -253,6 +253,11 @@
 	if fleet.live == 0 && fleet.known > 0 || g.registryProgress.behindFor(now) > localOutageAfter {
 		g.storeState.markLocalOutage()
 	}
+	hasRelay := relayOf(platform.FeedOperator, g.self(), live) != ""
+	if g.hasRelay.Swap(hasRelay) && !hasRelay {
+		// A relay may hold a call though it has lost the store unnoticed.
+		g.operatorProgress.interruptWait()
+	}
 	if !fleet.membersRead {
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -280,24 +280,29 @@
 
 // relayCandidates returns the instances that may be the zone's relay, the
 // preferred one first. They are advertised ones, since the link of a weak
-// instance would delay the feeds for the whole zone. Only ready instances are
-// relays, unless the zone has none: then all of them are starting.
+// instance would delay the feeds for the whole zone. Only ready instances that
+// reach the store are relays, unless the zone has none: then those that have lost
+// the store, or else those that are starting.
 func relayCandidates(self presence.Heartbeat, live []presence.Heartbeat) []presence.Heartbeat {
-	var ready, starting []presence.Heartbeat
+	var ready, cut, starting []presence.Heartbeat
 	for _, heartbeat := range append([]presence.Heartbeat{self}, live...) {
 		switch {
 		case heartbeat.Zone != self.Zone || heartbeat.Leaving:
+		case heartbeat.Ready && heartbeat.StoreLost:
+			cut = append(cut, heartbeat)
 		case heartbeat.Ready:
 			ready = append(ready, heartbeat)
 		default:
 			starting = append(starting, heartbeat)
 		}
 	}
-	candidates := ready
-	if len(candidates) == 0 {
-		candidates = starting
-	}
-	if len(candidates) == 0 {
+	candidates := starting
+	switch {
+	case len(ready) > 0:
+		candidates = ready
+	case len(cut) > 0:
+		candidates = cut
+	case len(starting) == 0:
 		return nil
 	}
 	candidates = slices.Clone(presence.Advertised(candidates))
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"compress/gzip"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/feed"
+	"pistachioford.example/core/presence"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -170,3 +173,59 @@
 	_, err = decompressTable([]byte("no gzip"))
 	is.True(err != nil)
 }
+
+// Guards against a fleet whose readers of the store have all lost it, or have a
+// silent connection: nobody else would notice a change.
+func TestInstancesThatLoseTheStoreAreReplacedAsReaders(t *testing.T) {
+	s := newSite(t)
+	links := map[string]*faultyLink{}
+	var instances []*Gateway
+	for i := range 5 {
+		name := fmt.Sprintf("g-%d", i)
+		links[name] = s.startFaultyLink()
+		instances = append(instances, s.startInstanceAt(name, 320, 1000, links[name].listener.Addr().String()))
+	}
+	readers := func() (readers []*Gateway) {
+		for _, g := range instances {
+			if relayOf(platform.FeedOperator, g.self(), g.peers.live(time.Now())) == "" {
+				readers = append(readers, g)
+			}
+		}
+		return readers
+	}
+	s.waitFor("readers", func() bool { return len(readers()) == minStoreReaders })
+	lost := readers()
+	relay := slices.IndexFunc(lost, func(g *Gateway) bool { return relayAddress(g.self(), g.peers.live(time.Now())) == "" })
+	for i, g := range lost {
+		if i != relay {
+			links[g.node.Name].fail(false, false)
+		}
+	}
+	for i, g := range lost {
+		if i != relay {
+			s.waitFor("loss of the store", func() bool { return isClosed(g.storeState.whenLost()) })
+		}
+	}
+	// Heartbeats report the loss, and others follow the store instead.
+	time.Sleep(3 * presence.Interval)
+	// Their held calls have begun.
+	time.Sleep(time.Second)
+	links[lost[relay].node.Name].fail(true, true)
+	s.setDocument(2)
+	put := time.Now()
+	var checks sync.WaitGroup
+	for _, g := range instances {
+		if slices.Contains(lost, g) {
+			continue
+		}
+		checks.Go(func() {
+			s.waitForDocument(g, 2)
+			took := time.Since(put)
+			t.Logf("%s has version 2 after %v", g.node.Name, took)
+			if took > documentDelay {
+				t.Errorf("%s has version 2 after %v", g.node.Name, took)
+			}
+		})
+	}
+	checks.Wait()
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -321,9 +321,13 @@
 // pointless. A call that is not held goes on: it may be the one that closes the
 // gap.
 func (p *progress) interruptIfOverdue() {
-	if !p.isOverdue(time.Now()) {
-		return
+	if p.isOverdue(time.Now()) {
+		p.interruptWait()
 	}
+}
+
+// interruptWait ends the wait of the feed, if it waits.
+func (p *progress) interruptWait() {
 	p.mu.Lock()
 	waiting := p.waiting
 	p.mu.Unlock()
