gateway: instances of an earlier build follow a relay across eras

A fleet is replaced one instance after the other. An earlier build names no era in its calls; it got all rows at once, and again with each call. It is now taken to ask for the relay's own era, and a response without an era belongs to the era that was asked for (TestEarlierBuildsFollowARelay).

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -317,12 +317,14 @@
 type relayResponse struct {
 	Rows []platform.Row    `json:"rows"`
 	At   platform.Position `json:"at"`
-	Era  uint64            `json:"era,omitempty"`
+	// Era is nil in a response of a build that knows no eras.
+	Era *uint64 `json:"era"`
 }
 
 // encodeRelayResponse encodes rows and the position after them.
 func encodeRelayResponse(rows []platform.Row, at platform.Position) ([]byte, error) {
-	r := relayResponse{Rows: slices.Clone(rows), At: at, Era: at.Next.Era()}
+	era := at.Next.Era()
+	r := relayResponse{Rows: slices.Clone(rows), At: at, Era: &era}
 	r.mapVersions(func(v feed.Version) feed.Version { return feed.Version(v.Counter()) })
 	return json.Marshal(r)
 }
@@ -372,15 +374,16 @@
 	default:
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: status %d", s.address, status)
 	}
-	response, err := decodeRelayResponse(resp)
+	response, err := decodeRelayResponse(resp, after.Era())
 	if err != nil {
 		return nil, platform.Position{}, fmt.Errorf("step=relay peer=%s: %w", s.address, err)
 	}
 	return response.Rows, response.At, nil
 }
 
-// decodeRelayResponse decodes the body of a relay's response.
-func decodeRelayResponse(resp *fasthttp.Response) (response relayResponse, err error) {
+// decodeRelayResponse decodes the body of a relay's response to a call that named
+// an era.
+func decodeRelayResponse(resp *fasthttp.Response, era uint64) (response relayResponse, err error) {
 	body := resp.Body()
 	if string(resp.Header.ContentEncoding()) == "gzip" {
 		if body, err = decompressTable(body); err != nil {
@@ -390,7 +393,10 @@
 	if err = json.Unmarshal(body, &response); err != nil {
 		return relayResponse{}, err
 	}
-	response.mapVersions(func(v feed.Version) feed.Version { return feed.NewVersion(response.Era, uint64(v)) })
+	if response.Era != nil {
+		era = *response.Era
+	}
+	response.mapVersions(func(v feed.Version) feed.Version { return feed.NewVersion(era, uint64(v)) })
 	return response, nil
 }
 
@@ -470,7 +476,7 @@
 // or from any at all if the caller cannot reach the store either.
 func (g *Gateway) serveFollower(ctx *fasthttp.RequestCtx, table platform.Feed) {
 	h := g.relays.histories[table]
-	after, afterErr := followerVersion(ctx.QueryArgs())
+	after, afterErr := followerVersion(ctx.QueryArgs(), h)
 	waitMS, waitErr := strconv.ParseUint(string(ctx.QueryArgs().Peek("wait_ms")), 10, 32)
 	if afterErr != nil || waitErr != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -506,14 +512,21 @@
 	ctx.SetBody(body)
 }
 
-// followerVersion returns the version after which a follower asks for changes.
-func followerVersion(args *fasthttp.Args) (feed.Version, error) {
+// followerVersion returns the version after which a follower asks for changes, or
+// 0 if it asks for all rows. A build that knows no eras names none.
+func followerVersion(args *fasthttp.Args, h *history) (feed.Version, error) {
 	counter, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
-	if err != nil || !args.Has("era") {
-		return feed.NewVersion(0, counter), err
-	}
-	era, err := strconv.ParseUint(string(args.Peek("era")), 10, 64)
-	return feed.NewVersion(era, counter), err
+	switch {
+	case err != nil:
+		return 0, err
+	case args.Has("era"):
+		era, err := strconv.ParseUint(string(args.Peek("era")), 10, 64)
+		return feed.NewVersion(era, counter), err
+	case counter == 0:
+		return 0, nil
+	}
+	_, at, _, _ := h.changesSince(0)
+	return feed.NewVersion(at.Next.Era(), counter), nil
 }
 
 // canRelayChanges reports whether this instance follows a table from the store,
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -146,7 +146,7 @@
 	resp := &fasthttp.Response{}
 	resp.Header.SetContentEncoding("gzip")
 	resp.SetBodyRaw(first)
-	decoded, err := decodeRelayResponse(resp)
+	decoded, err := decodeRelayResponse(resp, 0)
 	is.NoErr(err)
 	is.Equal(len(decoded.Rows), 3000)
 	is.Equal(decoded.At, at)
@@ -155,7 +155,7 @@
 	changed, err := h.compressedTable()
 	is.NoErr(err)
 	resp.SetBodyRaw(changed)
-	decoded, err = decodeRelayResponse(resp)
+	decoded, err = decodeRelayResponse(resp, 0)
 	is.NoErr(err)
 	is.Equal(len(decoded.Rows), 2999)
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -237,3 +237,23 @@
 	}
 	checks.Wait()
 }
+
+// TestEarlierBuildsFollowARelay guards against calls without a pause by instances
+// of a build that names no era, while a fleet is replaced.
+func TestEarlierBuildsFollowARelay(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.store.Restore(s.store.Version())
+	g := s.startInstance("g")
+	s.setDocument(2)
+	s.waitForDocument(g, 2)
+	_, at, _, _ := g.relays.histories[platform.FeedOperator].changesSince(0)
+	is.Equal(at.Next.Era(), uint64(1))
+	url := fmt.Sprintf("%s%s?after=%d&wait_ms=300", relayPath, platform.FeedOperator, at.Next.Counter())
+	began := time.Now()
+	response := httpGet(t, peerAddress(g.node), url)
+	is.Equal(response.status, 200)
+	is.True(time.Since(began) >= 300*time.Millisecond)
+	is.Equal(response.body, fmt.Sprintf(`{"rows":null,"at":{"next":%d,"newest":%d,"covered":%d},"era":1}`,
+		at.Next.Counter(), at.Newest.Counter(), at.Covered.Counter()))
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -485,13 +485,10 @@
 		f.synced = false
 	}
 	snapshot := !f.synced
-	prepared := make(chan struct{})
-	go func() {
-		defer close(prepared)
-		if snapshot && f.beforeTable != nil {
-			f.beforeTable(ctx, src)
-		}
-	}()
+	var prepared sync.WaitGroup
+	if snapshot && f.beforeTable != nil {
+		prepared.Go(func() { f.beforeTable(ctx, src) })
+	}
 	rows, at, err := f.fetch(ctx, src, afterFailure)
 	switch {
 	case err != nil:
@@ -499,7 +496,7 @@
 	case at.Next < f.next:
 		return false, errStaleResponse
 	}
-	<-prepared
+	prepared.Wait()
 	now := time.Now()
 	f.synced = true
 	// The response to a held call may have no rows and a version beyond a
