soak: a store that comes back from a copy, and a request that crashes targets

The soak restores the store from copies of up to 30 changes before, and sends a request that crashes each target all the while; after the faults every daemon must refuse it and at most 3 more targets may crash.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -16,11 +16,12 @@
 
 // server is an upstream whose runs the cluster counts.
 type server struct {
-	id       string
-	zone     string
-	proxy    *proxy
-	http     *http.Server
-	sequence int
+	id    string
+	zone  string
+	proxy *proxy
+	http  *http.Server
+	// boot and sequence order its reports.
+	boot, sequence int
 	// removed is set while a fault keeps the server's entry out of the store.
 	removed bool
 }
@@ -51,7 +52,12 @@
 	storeProxy      *proxy
 	documentVersion int
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// evacuations counts the evacuations of each zone in progress.
+	evacuations map[string]int
+	// crashes counts the servers that poison requests have crashed.
+	crashes int
+
 	servers []*server
 	daemons []*daemon
 	// runs counts by request ID how often a request began to run.
@@ -76,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, binary: binary, store: store, runs: map[string]int{}, lastFaultEnd: time.Now()}
+	c := &cluster{dir: dir, binary: binary, store: store, runs: map[string]int{}, evacuations: map[string]int{}, lastFaultEnd: time.Now()}
 	if err := c.claimBlock(); err != nil {
 		return nil, err
 	}
@@ -113,12 +119,21 @@
 
 // publishDocument writes the next version of the document to the store.
 func (c *cluster) publishDocument() {
+	c.mu.Lock()
 	c.documentVersion++
+	c.mu.Unlock()
+	c.writeDocument()
+}
+
+// writeDocument writes the present version of the document to the store.
+func (c *cluster) writeDocument() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.store.Put("op", "config", fmt.Appendf(nil, documentFormat, c.documentVersion, c.documentVersion, c.documentVersion))
 }
 
 func (c *cluster) addServer(id, zone string) error {
-	s := &server{id: id, zone: zone}
+	s := &server{id: id, zone: zone, boot: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(rw http.ResponseWriter, r *http.Request) { c.handle(s, rw, r) })
 	s.http = &http.Server{Handler: mux}
@@ -139,10 +154,32 @@
 
 // reportState writes the store entry that a server writes about itself.
 func (c *cluster) reportState(s *server, state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	s.sequence++
 	c.store.Put("servers", s.id, fmt.Appendf(nil,
-		`{"address":%q,"born":1,"info":{"service":"s","zone":%q,"capacity":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`,
-		s.proxy.address(), s.zone, state, s.sequence))
+		`{"address":%q,"born":%d,"info":{"service":"s","zone":%q,"capacity":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`,
+		s.proxy.address(), s.boot, s.zone, state, s.sequence))
+}
+
+// poisonPath is the path of an order that crashes each server which runs it.
+const poisonPath = "/order/poison"
+
+// crash closes the connection of a poison request, and starts the server again
+// with a new boot.
+func (c *cluster) crash(s *server, rw http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(rw).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+	c.mu.Lock()
+	c.crashes++
+	s.boot++
+	s.sequence = 0
+	removed := s.removed
+	c.mu.Unlock()
+	if !removed {
+		c.reportState(s, "ready")
+	}
 }
 
 const serviceTime = 20 * time.Millisecond
@@ -158,6 +195,10 @@
 	c.runs[id]++
 	c.mu.Unlock()
 	time.Sleep(serviceTime)
+	if r.URL.Path == poisonPath {
+		c.crash(s, rw)
+		return
+	}
 	rw.Header().Set("X-Request-Id", id)
 	rw.Header().Set("X-Server-Seal", "mac-"+id)
 	rw.Header().Set("X-Server-Load", "1,0,3")
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -30,13 +30,50 @@
 	{"document", func(c *cluster, _ *rand.Rand, _ time.Duration) { c.publishDocument() }},
 	{"evacuation", func(c *cluster, r *rand.Rand, duration time.Duration) {
 		zone := zones[r.IntN(len(zones))]
-		c.store.Put("op", "evacuate/"+zone, []byte("{}"))
+		c.evacuate(zone, 1)
 		time.Sleep(duration)
-		c.store.Remove("op", "evacuate/"+zone)
+		c.evacuate(zone, -1)
 	}},
+	{"restore", restoreStore},
 	{"leaving target", removeAndRestoreServer},
 }
 
+// evacuate counts the beginning or the end of an evacuation, and writes or removes
+// its row.
+func (c *cluster) evacuate(zone string, change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuations[zone] += change
+	if c.evacuations[zone] > 0 {
+		c.store.Put("op", "evacuate/"+zone, []byte("{}"))
+	} else {
+		c.store.Remove("op", "evacuate/"+zone)
+	}
+}
+
+// restoreStore makes the store come back from an older copy. The operator and the
+// servers write again what was lost.
+func restoreStore(c *cluster, r *rand.Rand, duration time.Duration) {
+	c.store.SetFault(standin.Down)
+	time.Sleep(duration / 3)
+	newest := c.store.Version()
+	c.store.Restore(newest - min(newest-1, r.Uint64N(30)))
+	c.store.SetFault(standin.Healthy)
+	time.Sleep(duration / 3)
+	c.writeDocument()
+	for _, zone := range zones {
+		c.evacuate(zone, 0)
+	}
+	for _, s := range c.servers {
+		c.mu.Lock()
+		removed := s.removed
+		c.mu.Unlock()
+		if !removed {
+			c.reportState(s, "ready")
+		}
+	}
+}
+
 // disturb applies a random mode other than pass to a proxy.
 func disturb(p *proxy, r *rand.Rand, duration time.Duration) {
 	p.setMode(mode(1 + r.IntN(int(modeCount)-1)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -100,6 +100,7 @@
 	c.awaitReady(t)
 	r := rand.New(rand.NewPCG(seed, 7))
 	load := c.startLoad(seed)
+	load.callers.Go(func() { c.sendPoison(load, rand.New(rand.NewPCG(seed, 50))) })
 	began := time.Now()
 	c.injectFaults(r, *faultTime, func(name string) { t.Logf("%6.2fs %s", time.Since(began).Seconds(), name) })
 	// The requirements allow at most 4 s to recover after the last fault and
@@ -108,6 +109,68 @@
 	load.stop()
 	c.checkAttempts(t, load)
 	c.checkFinalState(t)
+	c.checkPoison(t)
+}
+
+// poisonInterval is the time between two copies of the poison request.
+const poisonInterval = 300 * time.Millisecond
+
+// sendPoison sends copies of a request that crashes servers to random daemons
+// until the load is stopped.
+func (c *cluster) sendPoison(l *load, r *rand.Rand) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.done:
+			return
+		case <-time.After(poisonInterval):
+			c.postPoison(c.daemons[r.IntN(len(c.daemons))], fmt.Sprintf("p-%d", n))
+		}
+	}
+}
+
+// postPoison sends a copy of the request to a daemon. It returns the HTTP status,
+// or 0 if there is no response.
+func (c *cluster) postPoison(d *daemon, id string) int {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:8641%s", d.address, poisonPath), strings.NewReader("x"))
+	if err != nil {
+		return 0
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Request-Deadline", "1000")
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// maxLateCrashes is how many servers a poison request may reach after the whole
+// fleet had time to learn of it.
+const maxLateCrashes = 3
+
+// checkPoison checks that all daemons refuse the poison request, also those that
+// have started again since it crashed servers.
+func (c *cluster) checkPoison(t *testing.T) {
+	crashes := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.crashes
+	}
+	before := crashes()
+	for n := range 5 {
+		for _, d := range c.daemons {
+			status := c.postPoison(d, fmt.Sprintf("late-%s-%d", d.name, n))
+			if n == 4 && status != http.StatusServiceUnavailable {
+				t.Errorf("%s: status %d for a request that crashes servers", d.name, status)
+			}
+		}
+	}
+	t.Logf("poison requests crashed %d servers, %d of them after the faults", before, crashes()-before)
+	if late := crashes() - before; late > maxLateCrashes {
+		t.Errorf("%d servers crashed after the faults", late)
+	}
 }
 
 // awaitReady waits until all daemons report that they are ready.
