--- a/gateway/members.go
+++ b/gateway/members.go
@@ -254,8 +254,9 @@
 		g.storeState.markLocalOutage()
 	}
 	hasRelay := relayOf(platform.FeedOperator, g.self(), live) != ""
-	if g.hasRelay.Swap(hasRelay) && !hasRelay {
-		// A relay may hold a call though it has lost the store unnoticed.
+	if g.hasRelay.Swap(hasRelay) && !hasRelay && anyLostStore(g.node.Zone, live) {
+		// The relay may hold a call though it has lost the store unnoticed. Without
+		// a loss the call ends in time: while a zone starts its relay changes often.
 		g.operatorProgress.interruptWait()
 	}
 	if !fleet.membersRead {
@@ -266,6 +267,11 @@
 	})
 }
 
+// anyLostStore reports whether an instance of a zone has lost the store.
+func anyLostStore(zone string, live []presence.Heartbeat) bool {
+	return slices.ContainsFunc(live, func(h presence.Heartbeat) bool { return h.Zone == zone && h.StoreLost })
+}
+
 // maintainMembership writes this instance's row and reads those of the others.
 func (g *Gateway) maintainMembership() {
 	registered := false
