--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -257,3 +257,15 @@
 	t.Logf("%d of %d requests refused", refused, 120*perSecond)
 	is.Equal(refused, 0)
 }
+
+// TestATargetIsEvidenceOnce guards against a suspicion that grows, or does not
+// begin, with several exchanges that one target breaks when it dies.
+func TestATargetIsEvidenceOnce(t *testing.T) {
+	is := is.New(t)
+	d := New("i")
+	for range 4 {
+		d.RecordBreak(at(time.Second), broken(7, 0, time.Second))
+		is.Equal(len(d.suspects[request].evidence), 1)
+	}
+	is.True(d.Admit(at(time.Second), request))
+}
