--- a/review/driver/cluster.go
+++ b/review/driver/cluster.go
@@ -100,7 +100,9 @@
 	}
 	_ = c.store.Close()
 	_ = c.claim.Close()
-	_ = os.RemoveAll(c.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(c.dir)
+	}
 }
 
 const resourcesFormat = `{"version":"r%d","resources":[%s
@@ -180,7 +182,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	d.cmd = exec.Command("sh", "-c", "ulimit -n 4100 && exec target/pistachioford gateway")
+	d.cmd = exec.Command("sh", "-c", "ulimit -n 4100 && exec ${DAEMON:-target/pistachioford} gateway")
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PISTACHIOFORD_NODE_FILE=" + d.nodeFile}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -18,6 +18,8 @@
 
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"descriptors": runDescriptors,
+	"chunk":       runSpoiled(spoiledChunk),
+	"status":      runSpoiled(spoiledStatus),
 }
 
 func main() {
