--- a/review/driver/cluster.go
+++ b/review/driver/cluster.go
@@ -41,8 +41,9 @@
 	targets []*target
 	daemons []*daemon
 
-	routes  string
 	version int
+	// headerBytes is the limit on headers in the desired state.
+	headerBytes int
 }
 
 // record is the file record.txt: a line for each thing sent, answered and run.
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, record: rec}
+	c := &cluster{dir: dir, record: rec, headerBytes: 16384}
 	if c.store, err = standin.Start("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -107,7 +108,7 @@
 
 const resourcesFormat = `{"version":"r%d","resources":[%s
 {"resource_kind":"services","metadata":{"name":"s"},"spec":{"health_path":"/health","max_conns":390,"protocol":"h1","tls":false,"warmup":"3s","cold_per_s":10.0}},
-{"resource_kind":"limits","metadata":{"name":"limits"},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`
+{"resource_kind":"limits","metadata":{"name":"limits"},"spec":{"max_header_bytes":%d,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`
 
 const (
 	readRoute  = `{"resource_kind":"routes","metadata":{"name":"read"},"spec":{"host":"h.example","prefix":"/read/","kind":"idempotent","timeout":"2000ms","aim":"300ms","priority":0,"service":"s","max_attempts":2,"session_affinity":true,"allowed_regions":[]}},`
@@ -117,8 +118,7 @@
 // publish writes the next version of the desired state.
 func (c *cluster) publish(routes string) {
 	c.version++
-	c.routes = routes
-	c.store.Put("op", "config", fmt.Appendf(nil, resourcesFormat, c.version, routes))
+	c.store.Put("op", "config", fmt.Appendf(nil, resourcesFormat, c.version, routes, c.headerBytes))
 	c.record.say("operator: config r%d acknowledged", c.version)
 }
 
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"descriptors": runDescriptors,
 	"chunk":       runSpoiled(spoiledChunk),
+	"limits":      runLimits,
 	"status":      runSpoiled(spoiledStatus),
 }
 
--- a/review/driver/users.go
+++ b/review/driver/users.go
@@ -74,8 +74,13 @@
 
 // get sends one idempotent request and reads the answer, for the time budget.
 func (ch *channel) get(path, id string, budget time.Duration) (status int, body string, err error) {
+	return ch.getWith(path, id, "", budget)
+}
+
+// getWith sends a request with further header fields.
+func (ch *channel) getWith(path, id, fields string, budget time.Duration) (status int, body string, err error) {
 	_ = ch.SetDeadline(time.Now().Add(budget))
-	_, err = fmt.Fprintf(ch, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: %d\r\n\r\n", path, id, budget.Milliseconds())
+	_, err = fmt.Fprintf(ch, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Request-Deadline: %d\r\n%s\r\n", path, id, budget.Milliseconds(), fields)
 	if err != nil {
 		return 0, "", err
 	}
