--- a/review/driver/cluster.go
+++ b/review/driver/cluster.go
@@ -101,9 +101,7 @@
 	}
 	_ = c.store.Close()
 	_ = c.claim.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.dir)
-	}
+	_ = os.RemoveAll(c.dir)
 }
 
 const resourcesFormat = `{"version":"r%d","resources":[%s
@@ -166,14 +164,19 @@
 	d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, address: fmt.Sprintf("%s.%d", c.block, n)}
 	d.nodeFile = filepath.Join(c.dir, d.name+".conf")
 	d.log = filepath.Join(c.dir, d.name+".log")
-	text := fmt.Sprintf(nodeFormat, d.name, d.address, zone, zoneRegions[zone], c.store.Address())
-	if err := os.WriteFile(d.nodeFile, []byte(text), 0o600); err != nil {
+	if err := c.writeSettings(d); err != nil {
 		return nil, err
 	}
 	c.daemons = append(c.daemons, d)
 	return d, c.start(d)
 }
 
+// writeSettings writes the settings file of a daemon.
+func (c *cluster) writeSettings(d *daemon) error {
+	text := fmt.Sprintf(nodeFormat, d.name, d.address, d.zone, zoneRegions[d.zone], c.store.Address())
+	return os.WriteFile(d.nodeFile, []byte(text), 0o600)
+}
+
 // start starts a daemon with the command of the deploy file and the number of
 // descriptors that the settings name.
 func (c *cluster) start(d *daemon) error {
@@ -182,7 +185,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	d.cmd = exec.Command("sh", "-c", "ulimit -n 4100 && exec ${DAEMON:-target/pistachioford} gateway")
+	d.cmd = exec.Command("sh", "-c", "ulimit -n 4100 && exec target/pistachioford gateway")
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PISTACHIOFORD_NODE_FILE=" + d.nodeFile}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -20,7 +20,8 @@
 	"descriptors": runDescriptors,
 	"chunk":       runSpoiled(spoiledChunk),
 	"limits":      runLimits,
-	"status":      runSpoiled(spoiledStatus),
+	"promise":     runFalsePromise,
+	"crasher":     runCrasher,
 }
 
 func main() {
