--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/bin/driver ] && [ -x target/pistachioford ] || exit 2
-exec review/bin/driver chunk review/2/record.txt
+[ -x target/review ] && [ -x target/pistachioford ] || exit 2
+exec target/review chunk review/2/record.txt
--- a/review/driver/crasher.go
+++ b/review/crasher.go
@@ -16,9 +16,10 @@
 
 const (
 	// crashedFor is how long a crashed target is silent before it is back.
-	crashedFor = 4500 * time.Millisecond
-	// crasherPeriod is how often the request that crashes targets comes again.
-	crasherPeriod = 2 * time.Second
+	crashedFor = 4300 * time.Millisecond
+	// crasherPeriod is how often the request that crashes targets comes again:
+	// one target at most is silent at a time.
+	crasherPeriod = 5 * time.Second
 	crasherPath   = "/read/crasher"
 	stable        = 3 * time.Second
 	maxRetries    = 3
@@ -247,7 +248,7 @@
 	statuses := map[int]int{}
 	if trouble {
 		c.record.say("users: a request comes that crashes each target which runs it, once in %s, at any machine", crasherPeriod)
-		for i := range 30 {
+		for i := range 13 {
 			d := c.daemons[i%2]
 			group.Go(func() {
 				conn, err := connect([]string{fmt.Sprintf("%s:%d", d.address, frontPort)})
--- a/review/driver/falsepromise.go
+++ b/review/falsepromise.go
@@ -15,8 +15,9 @@
 const (
 	// The disruption: one of ten targets fails a part of its requests.
 	greyTargets = 1
-	failedPart  = 0.45
-	greyLength  = 6500 * time.Millisecond
+	// failedOf20 of 20 requests fail, 0.45 of them.
+	failedOf20 = 9
+	greyLength = 6500 * time.Millisecond
 )
 
 // runFalsePromise lets a target fail orders after it has run them.
@@ -24,6 +25,7 @@
 	c.publish(readRoute + orderRoute)
 	var mu sync.Mutex
 	failing := false
+	asked, failed := 0, 0
 	runs := map[string]bool{}
 	note := func(r *http.Request) {
 		mu.Lock()
@@ -37,7 +39,13 @@
 	grey := func(t *target, w http.ResponseWriter, r *http.Request) bool {
 		note(r)
 		mu.Lock()
-		fail := failing && rand.Float64() < failedPart
+		fail := failing && (asked+1)*failedOf20/20 > asked*failedOf20/20
+		if failing {
+			asked++
+		}
+		if fail {
+			failed++
+		}
 		mu.Unlock()
 		if !fail {
 			return false
@@ -110,7 +118,7 @@
 	}
 	time.Sleep(5 * time.Second)
 	if trouble {
-		c.record.say("targets: %d of 10 fails %.2f of its requests after it has run them", greyTargets, failedPart)
+		c.record.say("targets: %d of 10 fails %d of 20 requests after it has run them", greyTargets, failedOf20)
 		mu.Lock()
 		failing = true
 		mu.Unlock()
@@ -122,6 +130,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	group.Wait()
+	c.record.say("the target failed %d of %d requests", failed, asked)
 	c.record.say("orders by answer: %v", answers)
 	c.record.say("%d orders were answered 429 or 503 and had run; %d orders ran again after that", falsePromises, repeated)
 	if answers["200, run: true"] == 0 {
--- a/review/driver/spoiled.go
+++ b/review/spoiled.go
@@ -17,8 +17,9 @@
 // The disruption: 3 of 10 targets spoil a part of their answers for a while.
 const (
 	spoilingTargets = 3
-	spoiledPart     = 0.02
-	spoilLength     = 5500 * time.Millisecond
+	// One in spoiledEvery of their answers is spoiled, 0.02 of them.
+	spoiledEvery = 50
+	spoilLength  = 5500 * time.Millisecond
 
 	chunkBytes = 0x40
 	chunkCount = 5
@@ -74,13 +75,19 @@
 	active  bool
 	spoil   spoiler
 	spoiled map[string]bool
+	// answers counts those of the spoiling targets while they spoil some.
+	answers int
 }
 
 // next returns how to answer a request, and notes it if the answer is spoiled.
 func (s *spoilState) next(id string, spoils bool) spoiler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.active || !spoils || rand.Float64() >= spoiledPart {
+	if !s.active || !spoils {
+		return wholeAnswer
+	}
+	s.answers++
+	if s.answers%spoiledEvery != 0 {
 		return wholeAnswer
 	}
 	s.spoiled[id] = true
@@ -200,7 +207,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	if trouble {
-		c.record.say("targets: %d of 10 spoil %.2f of their answers", spoilingTargets, spoiledPart)
+		c.record.say("targets: %d of 10 spoil one in %d of their answers", spoilingTargets, spoiledEvery)
 		state.mu.Lock()
 		state.active = true
 		state.mu.Unlock()
@@ -213,7 +220,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	group.Wait()
-	c.record.say("%d requests, %d successes, %d answers spoiled, %d successes that are not the target's whole answer", requests, successes, len(state.spoiled), wrong)
+	c.record.say("%d requests, %d successes, %d of %d answers of these targets spoiled, %d successes that are not the target's whole answer", requests, successes, len(state.spoiled), state.answers, wrong)
 	if 2*successes < requests {
 		return false, fmt.Errorf("too few requests are served")
 	}
