httpread: a response with a damaged byte in its framing is never complete

Cause: the readers of responses are lenient. The trailer reader took any lines for fields, so that the data after a damaged chunk size passed for the trailer; the head parser takes lone line feeds, HTTP/1.0 with Transfer-Encoding, status 204 with a length and a missing Transfer-Encoding field for other messages.

Bytes behind a body that begin no response put its length in doubt. The package chunked is part of it now.

--- /dev/null
+++ b/gateway/framing_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"testing"
+
+	"pistachioford.example/pistachioford/httpread/framingtest"
+)
+
+// Guards against a response with one wrong byte in its framing that reaches the
+// caller as a complete one with another body.
+func TestChangedFramingNeverYieldsAnotherBody(t *testing.T) {
+	framingtest.Check(t, readWholeResponse, true)
+}
+
+// readWholeResponse reads a response as an exchange does, with the rest of a body
+// that is not held. It returns an error unless the response may go to the caller.
+func readWholeResponse(segments [][]byte, end error) (body []byte, err error) {
+	held := &heldBody{budget: newMemoryBudget(0), owner: "i-1"}
+	br := bufio.NewReaderSize(&framingtest.Connection{Segments: segments, Err: end}, targetBufferSize)
+	resp, err := readResponse(br, []byte(framingtest.RequestID), false, false, held)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.release()
+	if err := resp.validate(); err != nil {
+		return nil, err
+	}
+	body = bytes.Clone(resp.body)
+	if resp.rest != nil {
+		rest, err := io.ReadAll(resp.rest)
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, rest...)
+	}
+	return body, nil
+}
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"pistachioford.example/pistachioford/chunked"
+	"pistachioford.example/pistachioford/httpread"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -97,7 +97,7 @@
 }
 
 func readChunkedBody(br *bufio.Reader, limit int, budget *memoryBudget) (body, error) {
-	chunks := chunked.NewReader(br)
+	chunks := httpread.NewChunkedReader(br)
 	b := body{held: &heldBody{budget: budget}}
 	ended, err := b.held.readUpTo(chunks, maxBufferedBody+1)
 	b.buffered = b.held.bytes
@@ -223,7 +223,7 @@
 func readResponse(br *bufio.Reader, id []byte, isHead, firstOnConn bool, held *heldBody) (*response, error) {
 	for range maxResponsesRead {
 		resp := &response{}
-		if err := resp.header.Read(br); err != nil {
+		if err := httpread.ReadHead(br, &resp.header); err != nil {
 			return nil, err
 		}
 		if resp.header.StatusCode() < fasthttp.StatusOK {
@@ -260,20 +260,15 @@
 // content returns a reader of the body. It returns io.EOF only at the end of a
 // complete body, and an error beyond maxResponseBody.
 func (resp *response) content(br *bufio.Reader, isHead bool) (io.Reader, error) {
-	status, length := resp.header.StatusCode(), resp.header.ContentLength()
-	switch {
-	case isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
-		return bytes.NewReader(nil), nil
-	case length > maxResponseBody:
+	if !isHead && resp.header.ContentLength() > maxResponseBody {
 		return nil, errTooLarge
-	case length >= 0:
-		return &fixedReader{reader: br, remaining: length}, nil
-	case length == -1:
-		return &limitedReader{reader: chunked.NewReader(br), remaining: maxResponseBody}, nil
-	default:
-		resp.unframed = true
-		return &limitedReader{reader: br, remaining: maxResponseBody}, nil
 	}
+	content, unframed, err := httpread.Body(br, &resp.header, isHead)
+	if err != nil {
+		return nil, err
+	}
+	resp.unframed = unframed
+	return &limitedReader{reader: content, remaining: maxResponseBody}, nil
 }
 
 // hold reads the body, or the first part of a large one. On an error it keeps
@@ -292,28 +287,6 @@
 	return nil
 }
 
-// fixedReader reads a body of known length. A source that ends early is an
-// error.
-type fixedReader struct {
-	reader    io.Reader
-	remaining int
-}
-
-func (f *fixedReader) Read(p []byte) (int, error) {
-	if f.remaining == 0 {
-		return 0, io.EOF
-	}
-	n, err := f.reader.Read(p[:min(len(p), f.remaining)])
-	f.remaining -= n
-	switch {
-	case f.remaining == 0:
-		return n, io.EOF
-	case err == io.EOF:
-		return n, io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
 // validate returns an error if the response must not be forwarded as the
 // target's.
 func (resp *response) validate() error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,6 +21,7 @@
 
 	"pistachioford.example/core/feed"
 	"pistachioford.example/core/presence"
+	"pistachioford.example/pistachioford/httpread"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -116,7 +117,7 @@
 	return &relays{
 		histories: [2]*history{newHistory(platform.FeedOperator), newHistory(platform.FeedRegistry)},
 		client: fasthttp.Client{
-			MaxResponseBodySize: maxRelayResponse, MaxIdemponentCallAttempts: 1,
+			Transport: httpread.Transport{}, MaxResponseBodySize: maxRelayResponse, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial: func(address string) (net.Conn, error) {
 				return net.DialTimeout("tcp4", address, relayTimeoutMargin)
--- a/chunked/chunked_test.go
+++ b/httpread/chunked_test.go
@@ -1,4 +1,4 @@
-package chunked
+package httpread
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 func TestReaderStopsAtTheNextMessage(t *testing.T) {
 	is := is.New(t)
 	br := bufio.NewReader(strings.NewReader("3\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\nNEXT"))
-	body, err := io.ReadAll(NewReader(br))
+	body, err := io.ReadAll(NewChunkedReader(br))
 	is.NoErr(err)
 	is.Equal(string(body), "abcde")
 	rest, err := io.ReadAll(br)
@@ -25,7 +25,7 @@
 // one.
 func TestMalformedBodies(t *testing.T) {
 	for _, text := range []string{"", "3\r\nab", "3\r\nabc\r\n", "3\r\nabc\r\n0\r\n", "zz\r\n", "0\r\n" + strings.Repeat("a: b\r\n", 40)} {
-		_, err := io.ReadAll(NewReader(bufio.NewReader(strings.NewReader(text))))
+		_, err := io.ReadAll(NewChunkedReader(bufio.NewReader(strings.NewReader(text))))
 		is.New(t).True(err != nil)
 	}
 }
--- a/operate/status.go
+++ b/operate/status.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/revision"
+	"pistachioford.example/pistachioford/httpread"
 	"pistachioford.example/pistachioford/tables"
 )
 
@@ -167,7 +168,7 @@
 		return nil, eris.New("the instance list has no address of the operators' port")
 	}
 	client := &fasthttp.HostClient{
-		Addr: address, MaxResponseBodySize: maxStatusBytes,
+		Addr: address, Transport: httpread.Transport{}, MaxResponseBodySize: maxStatusBytes,
 		ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
--- a/tables/client.go
+++ b/tables/client.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
+
+	"pistachioford.example/pistachioford/httpread"
 )
 
 // Defaults of a Config. With 480 instances the budgets add up to 960 reads/s
@@ -83,6 +85,7 @@
 		Dial:                func(addr string) (net.Conn, error) { return fasthttp.DialDualStackTimeout(addr, config.Timeout) },
 		ReadTimeout:         config.Timeout,
 		WriteTimeout:        config.Timeout,
+		Transport:           httpread.Transport{},
 		MaxResponseBodySize: MaxBodyBytes,
 		// By default fasthttp resends idempotent requests itself, outside the
 		// budget and without a delay.
--- a/upstream/poller.go
+++ b/upstream/poller.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/document"
+	"pistachioford.example/pistachioford/httpread"
 )
 
 const (
@@ -51,6 +52,7 @@
 func NewPoller(deliver func(Report)) *Poller {
 	return &Poller{deliver: deliver, client: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
+		Transport:                 httpread.Transport{},
 		MaxResponseBodySize:       maxReportBytes,
 		ReadBufferSize:            maxHeaderBytes,
 		MaxConnsPerHost:           1,
--- a/upstream/read.go
+++ b/upstream/read.go
@@ -5,11 +5,10 @@
 	"bytes"
 	"errors"
 	"io"
-	"slices"
 
 	"github.com/valyala/fasthttp"
 
-	"pistachioford.example/pistachioford/chunked"
+	"pistachioford.example/pistachioford/httpread"
 )
 
 var (
@@ -17,46 +16,43 @@
 	errUnframed  = errors.New("the response has neither Content-Length nor chunks, so its end cannot be checked")
 )
 
-// maxInterimResponses bounds the headers that are read for one response: fewer
-// 1xx responses than this may precede the final one.
-const maxInterimResponses = 5
-
 // readResponse reads the header and, if the body is small enough, the body. It
-// returns a larger body as a reader. head is set if the request was a HEAD
+// returns a larger body as a reader. isHead is set if the request was a HEAD
 // request, whose response has no body. The result is stored in response unless
 // that is nil.
-func readResponse(br *bufio.Reader, head bool, response *Response) (*Response, io.Reader, error) {
+func readResponse(br *bufio.Reader, isHead bool, response *Response) (*Response, io.Reader, error) {
 	if response == nil {
 		response = &Response{}
 	}
-	if err := readFinalHeader(br, &response.Header); err != nil {
+	if err := httpread.ReadFinalHead(br, &response.Header); err != nil {
+		return nil, nil, err
+	}
+	body, unframed, err := httpread.Body(br, &response.Header, isHead)
+	switch {
+	case err != nil:
 		return nil, nil, err
+	case unframed:
+		return nil, nil, errUnframed
 	}
 	length := response.Header.ContentLength()
 	switch {
-	case head || hasNoBody(response.Header.StatusCode()):
+	case isHead || hasNoBody(response.Header.StatusCode()):
 		response.Length = max(length, 0)
-		return response, nil, nil
-	case length >= 0:
-		return readFixedLength(br, response, length)
-	case length == -1:
-		return readChunked(br, response)
+		_, err := body.Read(nil)
+		return response, nil, ignoreEOF(err)
+	case length > MaxBufferedBytes:
+		response.Length = length
+		return response, body, nil
 	default:
-		return nil, nil, errUnframed
+		return buffer(response, body)
 	}
 }
 
-func readFinalHeader(br *bufio.Reader, header *fasthttp.ResponseHeader) error {
-	for range maxInterimResponses {
-		if err := header.Read(br); err != nil {
-			return err
-		}
-		if header.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-		header.Reset()
+func ignoreEOF(err error) error {
+	if err == io.EOF {
+		return nil
 	}
-	return errors.New("too many interim (1xx) responses")
+	return err
 }
 
 // hasNoBody reports whether responses with this status have no body.
@@ -64,29 +60,22 @@
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-func readFixedLength(br *bufio.Reader, response *Response, length int) (*Response, io.Reader, error) {
-	response.Length = length
-	if length > MaxBufferedBytes {
-		return response, &exactReader{reader: br, remaining: length}, nil
-	}
-	response.Body = slices.Grow(response.Body[:0], length)[:length]
-	if _, err := io.ReadFull(br, response.Body); err != nil {
-		return nil, nil, err
-	}
-	return response, nil, nil
-}
+// maxFirstBuffer bounds what is allocated for a body before it arrives.
+const maxFirstBuffer = 16 << 10
 
-func readChunked(br *bufio.Reader, response *Response) (*Response, io.Reader, error) {
-	body := chunked.NewReader(br)
-	buffered, err := io.ReadAll(io.LimitReader(body, MaxBufferedBytes+1))
-	if err != nil {
+// buffer reads the body, or the first part of a large one.
+func buffer(response *Response, body io.Reader) (*Response, io.Reader, error) {
+	buffered := bytes.NewBuffer(response.Body[:0])
+	if length := response.Header.ContentLength(); length > 0 {
+		buffered.Grow(min(length, maxFirstBuffer) + bytes.MinRead)
+	}
+	if _, err := buffered.ReadFrom(io.LimitReader(body, MaxBufferedBytes+1)); err != nil {
 		return nil, nil, err
 	}
-	if len(buffered) <= MaxBufferedBytes {
-		response.Body = buffered
-		response.Length = len(buffered)
+	if buffered.Len() <= MaxBufferedBytes {
+		response.Body, response.Length = buffered.Bytes(), buffered.Len()
 		return response, nil, nil
 	}
 	response.Length = -1
-	return response, io.MultiReader(bytes.NewReader(buffered), body), nil
+	return response, io.MultiReader(bytes.NewReader(buffered.Bytes()), body), nil
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -81,28 +81,3 @@
 	}
 	return nil
 }
-
-// exactReader reads exactly remaining bytes and reports an earlier end of the
-// underlying reader as io.ErrUnexpectedEOF.
-type exactReader struct {
-	reader    io.Reader
-	remaining int
-}
-
-func (r *exactReader) Read(p []byte) (int, error) {
-	if r.remaining == 0 {
-		return 0, io.EOF
-	}
-	if len(p) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.reader.Read(p)
-	r.remaining -= n
-	if err == io.EOF && r.remaining > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == nil && r.remaining == 0 {
-		err = io.EOF
-	}
-	return n, err
-}
