poison: targets that fall silent are evidence once they turn out to be lost

Cause: only broken connections were evidence. The exchange with a silent target ends at the deadline or when its caller leaves, and nothing connected it with the target's new start or the end of its entry.

Change: core/poison keeps the requests that a target has not responded to, and counts them once the registry shows the loss. Targets that were lost together make no verdict. Damaged responses and missing acknowledgements no longer count as crashes. Reports carry two more fields.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -58,20 +58,31 @@
 	quietTolerance = 10 * time.Second
 )
 
-// Report describes an exchange that ended without a complete response.
+// Report describes an exchange that ended without a complete response, and whose
+// target closed the connection or is lost.
 type Report struct {
 	// Fingerprint is a hash of the request's content.
 	Fingerprint uint64
 	// Target is a hash of the target and its boot: a target that starts again
 	// can crash again.
 	Target uint64
-	// SentAgo and BrokenAgo are how long ago the exchange began and ended.
+	// SentAgo is how long ago the exchange began, BrokenAgo how long ago the
+	// connection was closed or the loss of a silent target became known.
 	SentAgo, BrokenAgo time.Duration
+	// Silent is set if the target fell silent instead of closing the connection.
+	// AliveAgo is how long ago it had last responded to the reporting instance
+	// before the exchange, 0 if that is not known.
+	Silent   bool
+	AliveAgo time.Duration
 }
 
 // at returns the exchange that a report describes at a time.
 func (r Report) at(now time.Time) exchange {
-	return exchange{r.Fingerprint, r.Target, now.Add(-r.SentAgo), now.Add(-r.BrokenAgo)}
+	x := exchange{fingerprint: r.Fingerprint, target: r.Target, sent: now.Add(-r.SentAgo), broken: now.Add(-r.BrokenAgo), silent: r.Silent}
+	if r.AliveAgo > 0 {
+		x.alive = now.Add(-r.AliveAgo)
+	}
+	return x
 }
 
 // exchange is one that ended without a complete response. The fields are as in
@@ -79,11 +90,42 @@
 type exchange struct {
 	fingerprint, target uint64
 	sent, broken        time.Time
+	silent              bool
+	// alive is the zero time if it is not known.
+	alive time.Time
 }
 
 // report describes the exchange as of a time.
 func (x exchange) report(now time.Time) Report {
-	return Report{x.fingerprint, x.target, max(now.Sub(x.sent), 0), max(now.Sub(x.broken), 0)}
+	r := Report{Fingerprint: x.fingerprint, Target: x.target, SentAgo: max(now.Sub(x.sent), 0), BrokenAgo: max(now.Sub(x.broken), 0), Silent: x.silent}
+	if !x.alive.IsZero() {
+		r.AliveAgo = max(now.Sub(x.alive), time.Millisecond)
+	}
+	return r
+}
+
+// follows reports whether the target of x was lost after that of another exchange
+// was: x is then no victim of what took the other target down.
+func (x exchange) follows(earlier exchange) bool {
+	switch {
+	case x.target == earlier.target:
+		return false
+	case !x.silent && !earlier.silent:
+		return !x.sent.Before(earlier.broken.Add(-concurrencySlack))
+	case !x.silent:
+		return !x.sent.Before(earlier.lostBy())
+	default:
+		// A silent target may have been lost before the exchange began.
+		return !x.alive.Before(earlier.lostBy()) || !x.broken.Before(earlier.broken.Add(noticeSpread))
+	}
+}
+
+// lostBy returns when the target is expected to have been lost at the latest.
+func (x exchange) lostBy() time.Time {
+	if !x.silent {
+		return x.broken
+	}
+	return later(x.sent, x.alive).Add(lossUncertainty)
 }
 
 // Verdict states whether copies of a request are refused.
@@ -126,14 +168,13 @@
 	evidence []exchange
 }
 
-// crashes returns the number of distinct targets, and whether one exchange began
-// after another one had ended. Exchanges that were all in flight at the same time
-// may have broken for a common reason.
+// crashes returns the number of distinct targets, and whether one of them was lost
+// after another one. Targets that were all lost at the same time may have a common
+// reason for it.
 func (s *suspect) crashes() (distinct int, consecutive bool) {
 	for _, earlier := range s.evidence {
-		for _, later := range s.evidence {
-			follows := !later.sent.Before(earlier.broken.Add(-concurrencySlack))
-			consecutive = consecutive || follows && later.target != earlier.target
+		for _, x := range s.evidence {
+			consecutive = consecutive || x.follows(earlier)
 		}
 	}
 	return len(s.evidence), consecutive
@@ -167,6 +208,8 @@
 	suspects  map[uint64]*suspect
 	verdicts  map[uint64]*verdict
 	served    servedRequests
+	// exposures are the exchanges without a response of this instance, by target.
+	exposures map[uint64]*exposures
 	pending   []pendingReport
 	// cleared are suspects of other instances that were served here.
 	cleared []uint64
@@ -178,7 +221,7 @@
 
 // New returns the detector of an instance.
 func New(self string) *Detector {
-	return &Detector{self: self, suspects: map[uint64]*suspect{}, verdicts: map[uint64]*verdict{}}
+	return &Detector{self: self, suspects: map[uint64]*suspect{}, verdicts: map[uint64]*verdict{}, exposures: map[uint64]*exposures{}}
 }
 
 // SetInstances sets the names of the other live instances.
@@ -253,15 +296,18 @@
 	return d.isFirstKeeper(v.Fingerprint)
 }
 
-// RecordBreak records an exchange of this instance that ended without a complete
-// response.
-func (d *Detector) RecordBreak(now time.Time, r Report) {
-	x := r.at(now)
+// RecordBreak records an exchange of this instance whose connection the target
+// closed before a complete response.
+func (d *Detector) RecordBreak(now time.Time, r Report) { d.recordEvidence(now, r.at(now)) }
+
+// recordEvidence records an exchange of this instance whose target may have
+// crashed.
+func (d *Detector) recordEvidence(now time.Time, x exchange) {
 	if d.served.excuses(now, x) {
 		return
 	}
-	if v := d.verdicts[r.Fingerprint]; v != nil && v.Blocked {
-		d.declare(now, r.Fingerprint, true, v.Crashes+1)
+	if v := d.verdicts[x.fingerprint]; v != nil && v.Blocked {
+		d.declare(now, x.fingerprint, true, v.Crashes+1)
 		return
 	}
 	if len(d.pending) == maxReports {
@@ -296,8 +342,12 @@
 		s = &suspect{}
 		d.suspects[x.fingerprint] = s
 	}
-	if slices.ContainsFunc(s.evidence, func(known exchange) bool { return known.target == x.target }) {
-		return
+	if i := slices.IndexFunc(s.evidence, func(known exchange) bool { return known.target == x.target }); i >= 0 {
+		if !s.evidence[i].silent || x.silent {
+			return
+		}
+		// A closed connection says more precisely when the target was lost.
+		s.evidence = slices.Delete(s.evidence, i, i+1)
 	}
 	s.evidence = slices.DeleteFunc(s.evidence, func(known exchange) bool { return now.Sub(known.broken) >= evidenceTTL })
 	if len(s.evidence) == maxEvidence {
@@ -390,6 +440,7 @@
 // Expire drops what is out of date.
 func (d *Detector) Expire(now time.Time) {
 	d.expireSuspects(now)
+	d.expireExposures(now)
 	for fingerprint, v := range d.verdicts {
 		ttl := blockTTL
 		if !v.Blocked {
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -1,8 +1,10 @@
 // Package poison finds requests that crash each target that runs them, and makes
 // all instances of a fleet refuse their copies. It uses no sockets or clocks.
 //
-// An exchange that ends without a complete response is evidence that the
-// request crashed the target. Copies of a request may reach any instance, so
+// An exchange whose connection the target closes before a complete response is
+// evidence that the request crashed the target. So is one without a response, once
+// the registry shows that the target was lost: by itself it says only that the
+// target, a link or the caller was slow or impatient. Copies of a request may reach any instance, so
 // each instance sends its evidence to the request's keepers: the few instances
 // that rendezvous hashing selects for its fingerprint. An instance that holds
 // enough evidence declares the request blocked. Such a verdict goes to all
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -163,6 +163,9 @@
 	if t != nil && (r.Boot < t.Boot || r.Boot == t.Boot && r.Sequence < t.Sequence) {
 		return false
 	}
+	if t != nil && r.Boot != t.Boot {
+		e.recordEndOf(now, t)
+	}
 	if t == nil || r.Boot != t.Boot || r.Address != t.Address || r.Service != t.Service {
 		e.removeTarget(r.ID)
 		t = newTarget(r)
@@ -173,7 +176,8 @@
 	t.Record, t.region, t.locality = r, region, e.localityOf(r, region)
 	t.notice = e.noticeOf(now, r)
 	t.updateRestricted(now)
-	t.expiresAt = time.Time{}
+	t.expiresAt, t.lapsed = time.Time{}, false
+	e.poison.RecordAlive(now, t.bootHash())
 	if r.ColdRemaining > 0 {
 		t.coldUntil = later(t.coldUntil, now.Add(r.ColdRemaining))
 	}
@@ -196,7 +200,11 @@
 func (e *Engine) Tick(now time.Time) {
 	e.adjustSpills(now)
 	for id, t := range e.targets {
-		if !t.expiresAt.IsZero() && !now.Before(t.expiresAt) && t.inFlight == 0 {
+		if t.expiresAt.IsZero() || now.Before(t.expiresAt) {
+			continue
+		}
+		e.recordLapse(now, t)
+		if t.inFlight == 0 {
 			e.removeTarget(id)
 		}
 	}
@@ -204,6 +212,30 @@
 	e.expireNotices(now)
 }
 
+// recordEndOf records that a target has started again.
+func (e *Engine) recordEndOf(now time.Time, t *target) {
+	if t.hasLeft() {
+		e.poison.RecordLeave(t.bootHash())
+		return
+	}
+	e.poison.RecordRestart(now, t.bootHash())
+}
+
+// recordLapse records once that the registry entry of a target has ended.
+func (e *Engine) recordLapse(now time.Time, t *target) {
+	switch {
+	case t.lapsed:
+	case t.hasLeft():
+		e.poison.RecordLeave(t.bootHash())
+	default:
+		e.poison.RecordLapse(now, t.bootHash())
+	}
+	t.lapsed = true
+}
+
+// hasLeft reports whether the target announced that it stops.
+func (t *target) hasLeft() bool { return t.Draining || t.notice.leaving }
+
 func (e *Engine) removeTarget(id TargetID) {
 	t := e.targets[id]
 	if t == nil {
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -191,6 +191,7 @@
 	}
 	t.inFlight++
 	t.health.recordSend()
+	e.poison.RecordSend(now, t.bootHash(), r.Fingerprint)
 	r.tried = append(r.tried, t.ID)
 	return s, nil
 }
@@ -232,6 +233,19 @@
 // NotRun reports whether the request certainly did not run.
 func (r Result) NotRun() bool { return r == Shed || r == Misdirected || r == NotSent }
 
+// BreakCause is why an exchange ended without a complete, valid response.
+type BreakCause uint8
+
+const (
+	// ClosedByTarget means that the target closed or reset the connection.
+	ClosedByTarget BreakCause = iota
+	// Unacknowledged means that the connection broke since the target, or a link,
+	// acknowledged nothing.
+	Unacknowledged
+	// Malformed means that the target sent bytes that are no valid response.
+	Malformed
+)
+
 // ExchangeReport describes the end of an exchange with a target.
 type ExchangeReport struct {
 	Result Result
@@ -245,6 +259,8 @@
 	ColdRemaining time.Duration
 	// ResponseBytes is the size of the response body.
 	ResponseBytes int
+	// Cause is why a Broken exchange ended.
+	Cause BreakCause
 	// Immediate is set for a Broken exchange on a new connection that ended
 	// before the target can have done any work.
 	Immediate bool
@@ -294,6 +310,7 @@
 		t.coldUntil = later(t.coldUntil, now.Add(report.ColdRemaining))
 	}
 	elapsed := now.Sub(s.sentAt)
+	e.recordExposure(now, r, s, report)
 	switch report.Result {
 	case Responded:
 		e.recordSuccess(now, r, s, report)
@@ -317,9 +334,6 @@
 		} else {
 			t.health.recordFailure(now, report.Immediate)
 		}
-		e.poison.RecordBreak(now, poison.Report{
-			Fingerprint: r.Fingerprint, Target: mix(t.hash, uint64(t.Boot)), SentAgo: elapsed,
-		})
 	case TimedOut:
 		t.health.recordFailure(now, false)
 		t.recordDuration(now, elapsed, s.expectedDuration)
@@ -328,6 +342,24 @@
 	}
 }
 
+// recordExposure records what the end of an exchange says of whether the request
+// crashed the target. One without a response says so only if the target turns out
+// to be lost: it may be slow.
+func (e *Engine) recordExposure(now time.Time, r *Request, s *Send, report ExchangeReport) {
+	target := s.target.bootHash()
+	switch {
+	case report.Result.NotRun() && report.Result != Shed:
+		e.poison.Forget(target, r.Fingerprint, s.sentAt)
+	case report.Result == TimedOut || report.Result == Abandoned || report.Result == Broken && report.Cause == Unacknowledged:
+		e.poison.RecordNoResponse(now, target, r.Fingerprint, s.sentAt)
+	case report.Result == Broken && report.Cause == ClosedByTarget:
+		e.poison.Forget(target, r.Fingerprint, s.sentAt)
+		e.poison.RecordBreak(now, poison.Report{Fingerprint: r.Fingerprint, Target: target, SentAgo: now.Sub(s.sentAt)})
+	default:
+		e.poison.RecordResponse(now, target, r.Fingerprint, s.sentAt)
+	}
+}
+
 func (e *Engine) recordSuccess(now time.Time, r *Request, s *Send, report ExchangeReport) {
 	t, elapsed := s.target, now.Sub(s.sentAt)
 	t.health.recordSuccess(now)
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -73,6 +73,8 @@
 	// expiresAt is when the target goes out of use. It is set once the registry
 	// no longer lists the target.
 	expiresAt time.Time
+	// lapsed is set once the end of the registry entry was recorded.
+	lapsed bool
 	// notice is what the target stated in its responses. restricted is set if it
 	// restricts what the target may get, so that most decisions need not look.
 	notice     *notice
@@ -85,6 +87,9 @@
 	return &target{Record: r, hash: xxhash.Sum64String(string(r.ID)), slowdown: 1, notice: &notice{}}
 }
 
+// bootHash identifies this start of the target.
+func (t *target) bootHash() uint64 { return mix(t.hash, uint64(t.Boot)) }
+
 // load returns the estimated number of requests that run or wait at the target.
 func (t *target) load(now time.Time) float64 {
 	overdue := now.Sub(t.peerLoadAt) - peerLoadHold
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
@@ -116,6 +117,7 @@
 		bound := x.unbind()
 		closeQuietly(conn)
 		out.Result, out.err = failureResult(err, bound, req.deadline), err
+		out.Cause = breakCause(err)
 		if out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sentAt) < s.RTT+resetMargin {
 			out.Immediate, out.StaleConnection = !reused, reused
 		}
@@ -177,6 +179,19 @@
 	}
 }
 
+// breakCause returns why an exchange ended with an error.
+func breakCause(err error) steer.BreakCause {
+	var network *net.OpError
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE):
+		return steer.ClosedByTarget
+	case errors.As(err, &network):
+		return steer.Unacknowledged
+	default:
+		return steer.Malformed
+	}
+}
+
 // roundTrip sends the request and reads the response. sentAll reports whether
 // the request was sent in full.
 func (x *exchange) roundTrip(conn *targetConn, req *outboundRequest, s *steer.Send, held *heldBody) (resp *response, sentAll bool, err error) {
@@ -313,7 +328,7 @@
 	case len(resp.header.Peek(platform.HeaderNotRun)) > 0:
 		report.Result = steer.Shed
 	case resp.validate() != nil:
-		report.Result = steer.Broken
+		report.Result, report.Cause = steer.Broken, steer.Malformed
 	case status >= fasthttp.StatusInternalServerError:
 		report.Result = steer.Failed
 	}
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -68,6 +68,8 @@
 	fieldReportTarget
 	fieldSentAgo
 	fieldBrokenAgo
+	fieldSilent
+	fieldAliveAgo
 )
 
 // Fields of a verdict.
@@ -345,7 +347,14 @@
 	dst = protowire.AppendTag(dst, fieldSentAgo, protowire.VarintType)
 	dst = protowire.AppendVarint(dst, uint64(r.SentAgo/reportAgeUnit))
 	dst = protowire.AppendTag(dst, fieldBrokenAgo, protowire.VarintType)
-	return protowire.AppendVarint(dst, uint64(r.BrokenAgo/reportAgeUnit))
+	dst = protowire.AppendVarint(dst, uint64(r.BrokenAgo/reportAgeUnit))
+	if !r.Silent {
+		return dst
+	}
+	dst = protowire.AppendTag(dst, fieldSilent, protowire.VarintType)
+	dst = protowire.AppendVarint(dst, protowire.EncodeBool(true))
+	dst = protowire.AppendTag(dst, fieldAliveAgo, protowire.VarintType)
+	return protowire.AppendVarint(dst, uint64(r.AliveAgo/reportAgeUnit))
 }
 
 func decodeReport(body []byte) (r poison.Report, err error) {
@@ -359,6 +368,10 @@
 			r.SentAgo = time.Duration(min(value, uint64(maxReportAge/reportAgeUnit))) * reportAgeUnit
 		case fieldBrokenAgo:
 			r.BrokenAgo = time.Duration(min(value, uint64(maxReportAge/reportAgeUnit))) * reportAgeUnit
+		case fieldSilent:
+			r.Silent = protowire.DecodeBool(value)
+		case fieldAliveAgo:
+			r.AliveAgo = time.Duration(min(value, uint64(maxReportAge/reportAgeUnit))) * reportAgeUnit
 		}
 	})
 	return r, err
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -41,7 +41,7 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	is := is.New(t)
 	sent := heartbeatMessage{own: testHeartbeat, others: []presence.Heartbeat{{Name: "b"}, testHeartbeat},
-		reports: []poison.Report{{Fingerprint: 1 << 63, Target: 7, SentAgo: 1500 * time.Millisecond, BrokenAgo: 20 * time.Millisecond}},
+		reports: []poison.Report{{Fingerprint: 1 << 63, Target: 7, SentAgo: 1500 * time.Millisecond, BrokenAgo: 20 * time.Millisecond}, {Fingerprint: 3, Target: 8, SentAgo: 4 * time.Second, Silent: true, AliveAgo: 5 * time.Second}},
 		verdicts: []poison.Verdict{
 			{Fingerprint: 1 << 62, Serial: 3, Blocked: true, Crashes: 4, Quiet: 90 * time.Second}, {Fingerprint: 5},
 		},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,7 +36,7 @@
 		c.detach()
 		out.response.finish(err == nil)
 		if err != nil {
-			out.Result, out.err = g.streamResult(r, c, err), err
+			out.Result, out.err, out.Cause = g.streamResult(r, c, err), err, breakCause(err)
 		}
 		_, _ = g.finishExchange(r, send, out)
 		if err == nil {
