gateway: open connections follow the limits of the active document

Cause: values of the document were copied when a connection was opened (the read buffer) or when the wait for a request began (body limit, header timeout, idle timeout), and the warm-up time when a zone was taken back.

--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -98,6 +98,9 @@
 	}
 	e.document = d
 	clear(e.credits)
+	for _, t := range e.targets {
+		t.warmup = e.warmupOf(t.Service)
+	}
 	return true
 }
 
@@ -138,7 +141,7 @@
 	delete(e.evacuated, zone)
 	for _, t := range e.targets {
 		if t.Zone == zone {
-			t.coldUntil = later(t.coldUntil, now.Add(e.warmupOf(t.Service)))
+			t.reopenedAt = now
 		}
 	}
 }
@@ -174,6 +177,7 @@
 		e.byService[r.Service] = append(e.byService[r.Service], t)
 	}
 	t.Record, t.region, t.locality = r, region, e.localityOf(r, region)
+	t.warmup = e.warmupOf(r.Service)
 	t.notice = e.noticeOf(now, r)
 	t.updateRestricted(now)
 	t.expiresAt, t.lapsed = time.Time{}, false
--- a/core/steer/target.go
+++ b/core/steer/target.go
@@ -67,9 +67,14 @@
 	slowdownAt time.Time
 	health     health
 	coldBucket coldBucket
-	// coldUntil is when the target stops being cold. Until then it gets few
-	// requests.
+	// coldUntil is when the target stops being cold, as it states. Until then it
+	// gets few requests.
 	coldUntil time.Time
+	// reopenedAt is when the evacuation of its zone ended. The target is treated as
+	// cold for warmup from then on.
+	reopenedAt time.Time
+	// warmup is that of the active document.
+	warmup time.Duration
 	// expiresAt is when the target goes out of use. It is set once the registry
 	// no longer lists the target.
 	expiresAt time.Time
@@ -142,4 +147,6 @@
 	t.slowdownAt = now
 }
 
-func (t *target) isCold(now time.Time) bool { return now.Before(t.coldUntil) }
+func (t *target) isCold(now time.Time) bool {
+	return now.Before(t.coldUntil) || !t.reopenedAt.IsZero() && now.Sub(t.reopenedAt) < t.warmup
+}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	// of the body.
 	defaultMaxHeaderBytes = 16 << 10
 	headerMargin          = 1 << 10
+	// initialReadBuffer is the size of a connection's read buffer until a longer
+	// header arrives, if the limit on headers is not lower.
+	initialReadBuffer = 8 << 10
 	// defaultIdleTimeout and defaultHeaderTimeout apply to a connection until a
 	// document sets the timeouts.
 	defaultIdleTimeout   = 15 * time.Second
@@ -31,7 +35,9 @@
 // callerConn is a connection of a caller. One goroutine serves it.
 type callerConn struct {
 	net.Conn
+	// br reads from source.
 	br       *bufio.Reader
+	source   *callerSource
 	gateway  *Gateway
 	writeBuf []byte
 	// nextErr receives the result of awaitRequest, which also notices when the
@@ -49,15 +55,67 @@
 	// request.
 	openedAt time.Time
 	used     bool
+	// idleSince is when the wait for the next request began, or the zero time
+	// outside of it. draining is set once a drain has ended a wait.
+	idleSince time.Time
+	draining  bool
+}
+
+// callerSource reads from a connection, after the bytes that a buffer of another
+// size has left.
+type callerSource struct {
+	conn net.Conn
+	left []byte
+}
+
+func (s *callerSource) Read(p []byte) (int, error) {
+	if len(s.left) == 0 {
+		s.left = nil
+		return s.conn.Read(p)
+	}
+	n := copy(p, s.left)
+	s.left = s.left[n:]
+	return n, nil
 }
 
 func newCallerConn(g *Gateway, conn net.Conn) *callerConn {
+	source := &callerSource{conn: conn}
 	return &callerConn{
-		Conn: conn, br: bufio.NewReaderSize(conn, g.limits().HeaderBytes+headerMargin), gateway: g,
+		Conn: conn, source: source, br: bufio.NewReaderSize(source, initialBufferFor(g.limits())), gateway: g,
 		nextErr: make(chan error, 1), openedAt: time.Now(),
 	}
 }
 
+func initialBufferFor(limits steer.Limits) int {
+	return min(limits.HeaderBytes+headerMargin, initialReadBuffer)
+}
+
+// resizeBuffer replaces the read buffer by one of another size with the same
+// unread bytes. The ones that it cannot hold are read again.
+func (c *callerConn) resizeBuffer(size int) {
+	unread, _ := c.br.Peek(c.br.Buffered())
+	c.source.left = slices.Concat(unread, c.source.left)
+	c.br = bufio.NewReaderSize(c.source, size)
+}
+
+// readHeader reads the header of a request. The read buffer, which must hold it,
+// grows up to the limit of the active document; a request that does not fit is an
+// ErrSmallBuffer.
+func (c *callerConn) readHeader(header *fasthttp.RequestHeader, limits steer.Limits) error {
+	limit := limits.HeaderBytes + headerMargin
+	if initial := initialBufferFor(limits); c.br.Size() > initial {
+		c.resizeBuffer(initial)
+	}
+	for {
+		err := header.Read(c.br)
+		var small *fasthttp.ErrSmallBuffer
+		if !errors.As(err, &small) || c.br.Size() >= limit {
+			return err
+		}
+		c.resizeBuffer(min(4*c.br.Size(), limit))
+	}
+}
+
 // callerConns is the set of callers' open connections. A drain uses it to close
 // the idle ones.
 type callerConns struct {
@@ -111,10 +169,38 @@
 	defer c.mu.Unlock()
 	isNew := !c.used && now.Sub(c.openedAt) < firstRequestWait
 	if !c.serving && !c.pending && !isNew {
+		c.draining = true
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// beginIdle begins the wait for the next request, which the idle timeout of the
+// active document ends.
+func (c *callerConn) beginIdle() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Now()
+	return c.SetReadDeadline(c.idleSince.Add(c.gateway.limits().IdleTimeout))
+}
+
+// followIdleTimeout applies a changed idle timeout to a wait that has begun.
+func (c *callerConn) followIdleTimeout(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.serving && !c.pending && !c.draining && !c.idleSince.IsZero() {
+		_ = c.SetReadDeadline(c.idleSince.Add(timeout))
+	}
+}
+
+// followIdleTimeout applies a changed idle timeout to all open connections.
+func (c *callerConns) followIdleTimeout(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.followIdleTimeout(timeout)
+	}
+}
+
 func (c *callerConn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -130,7 +216,7 @@
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = false
+	c.serving, c.idleSince = false, time.Time{}
 }
 
 // attach sets the exchange that is canceled when the caller disconnects. It
@@ -207,11 +293,10 @@
 	defer c.gateway.callers.remove(c)
 	awaiting := false
 	for {
-		limits := c.gateway.limits()
 		if !awaiting {
 			c.awaitRequest()
 		}
-		if err := c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
+		if err := c.beginIdle(); err != nil {
 			return
 		}
 		if err := <-c.nextErr; err != nil {
@@ -219,7 +304,7 @@
 		}
 		var keepAlive bool
 		c.beginRequest()
-		keepAlive, awaiting = c.serveRequest(limits)
+		keepAlive, awaiting = c.serveRequest(c.gateway.limits())
 		c.endRequest()
 		if !keepAlive {
 			c.linger(awaiting)
@@ -261,7 +346,7 @@
 		return false, false
 	}
 	header := &fasthttp.RequestHeader{}
-	if err := header.Read(c.br); err != nil {
+	if err := c.readHeader(header, limits); err != nil {
 		return c.refuseHeader(err)
 	}
 	if len(header.Peek("Expect")) > 0 {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -628,12 +628,16 @@
 		return
 	}
 	changed := false
+	idleTimeout := g.limits().IdleTimeout
 	g.withEngine(func(e *steer.Engine) { changed = applyOperatorChange(e, now, change) })
 	switch doc := change.Document; {
 	case doc == nil:
 		telemetry.Event("evacuation", telemetry.F("zone", change.Zone), telemetry.F("active", change.Evacuated))
 	case changed:
 		g.document.Store(doc)
+		if newer := g.limits().IdleTimeout; newer != idleTimeout {
+			g.callers.followIdleTimeout(newer)
+		}
 		telemetry.Event("document_active", telemetry.F("version", doc.Version),
 			telemetry.F("routes", len(doc.Routes)), telemetry.F("services", len(doc.Services)),
 			telemetry.F("source", from.source), telemetry.F("row", change.RowVersion), telemetry.F("behind", from.behind))
