listeners: ports are served on after a lack of descriptors

Cause: fasthttp's server ends at the first error of accept; nobody accepts on the open listener any more.

Change: accepts are tried again until the listener is closed, for all HTTP servers of gateway and run.

Measured: TestAuxiliaryPortsOutliveALackOfDescriptors failed before and passes.

--- a/entry/server.go
+++ b/entry/server.go
@@ -7,6 +7,8 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/listeners"
 )
 
 const (
@@ -49,7 +51,7 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Serve serves requests until the listener is closed.
-func (s *Server) Serve() error { return s.http.Serve(s.listener) }
+func (s *Server) Serve() error { return s.http.Serve(listeners.Persistent(s.listener)) }
 
 // Shutdown closes the listener and idle connections, and waits for all requests
 // in flight, including uploads that have only partly arrived.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -65,6 +65,8 @@
 	// restarting is set if instances that start now belong to a system that ran
 	// before.
 	restarting bool
+	// provisioned is called for each instance before it starts, unless it is nil.
+	provisioned func(*Gateway)
 }
 
 func newSite(t *testing.T) *site {
@@ -119,6 +121,9 @@
 	if err := g.Provision(); err != nil {
 		s.t.Fatal(err)
 	}
+	if s.provisioned != nil {
+		s.provisioned(g)
+	}
 	g.Start()
 	s.t.Cleanup(g.Cleanup)
 	s.waitFor("ready", func() bool { return g.ready() })
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/presence"
+	"pistachioford.example/pistachioford/listeners"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
 )
@@ -40,7 +41,7 @@
 		ReadTimeout: defaultIdleTimeout, IdleTimeout: defaultIdleTimeout,
 	}
 	g.background("serve", func() {
-		if err := server.Serve(listener); err != nil && g.ctx.Err() == nil {
+		if err := server.Serve(listeners.Persistent(listener)); err != nil && g.ctx.Err() == nil {
 			telemetry.Failure("serve", err, telemetry.F("address", listener.Addr()))
 		}
 	})
