gateway: a status that promises "not run" is true for requests that must not run twice

Cause: a target's 408, 421, 429 or 503 was passed on whether or not the target states that it did not run the request.

Change: without the statement, such a response to a request that must not run twice is replaced by 502 without the MAC.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -151,6 +151,19 @@
 	return out.response != nil && out.response.rest != nil && (out.Result == steer.Responded || out.Result == steer.Failed)
 }
 
+// claimsNotRun reports whether the status of a response tells the caller that the
+// request did not run, though the target does not state that.
+func (out *outcome) claimsNotRun() bool {
+	if out.response == nil || out.Result.NotRun() {
+		return false
+	}
+	switch out.response.header.StatusCode() {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // release drops a response that does not go to the caller.
 func (out *outcome) release() {
 	if out.response == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"pistachioford.example/core/steer"
 	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
 )
 
 const headerRequestID = platform.HeaderRequestID
@@ -181,12 +182,16 @@
 			x.cancel()
 		}
 		out := x.do(g.pools, req, &send)
-		if out.isStreamed() {
+		unproven := !req.retryable && out.claimsNotRun()
+		if out.isStreamed() && !unproven {
 			return g.streamedReply(r, c, &send, &out)
 		}
 		c.detach()
 		next, refusal := g.finishExchange(r, &send, &out)
 		if refusal == nil && next == nil {
+			if unproven {
+				return g.refuseUnproven(r, &out)
+			}
 			g.logServed(r, &send, out.response.header.StatusCode())
 			return &reply{response: out.response}
 		}
@@ -202,6 +207,19 @@
 	}
 }
 
+// reasonUnproven is logged for a target's response whose status says that the
+// request did not run, which the target does not state.
+const reasonUnproven = "unproven_not_run"
+
+// refuseUnproven responds to a request that must not run twice in place of a
+// target whose status would make the caller send it again.
+func (g *Gateway) refuseUnproven(r *request, out *outcome) *reply {
+	status := out.response.header.StatusCode()
+	out.release()
+	g.logRefused(r, fasthttp.StatusBadGateway, reasonUnproven, telemetry.F("target_status", status))
+	return gatewayReply(fasthttp.StatusBadGateway, reasonUnproven, 0)
+}
+
 // matchRoute finds the route of a request. A path without one gets the final
 // status 404 only while the document is known to be current.
 func (g *Gateway) matchRoute(r *request) (*steer.Route, *reply) {
