gateway: a reader of the store reports a new document at once

Cause, from the logs of a failing run: the relay's connection is silent and two readers have lost the store, so that one instance reads the change 1.2 s after it. The others learn of it from its next heartbeat, up to 0.7 s later, and wait 0.4 s.

Change: an instance that reads changes of the document from the store itself sends a heartbeat at once.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -209,6 +209,8 @@
 	next feed.Version
 	// restored is called when the store has come back from a copy.
 	restored func(now time.Time)
+	// advanced, if set, is called after changes were read from the store itself.
+	advanced func()
 }
 
 // origin says where rows came from, and how late they are known to be.
@@ -512,6 +514,9 @@
 		}
 		f.apply(now, origin{src.Name(), f.progress.behindFor(now)}, update.Rows, update.Whole)
 		f.progress.advance(at)
+		if _, relayed := src.(*relaySource); !relayed && !snapshot && f.advanced != nil {
+			f.advanced()
+		}
 	}
 	if afterFailure && !snapshot && f.progress.isBehind() {
 		telemetry.Event("feed_behind", telemetry.F("feed", f.table), telemetry.F("version", f.next))
@@ -594,6 +599,9 @@
 	g.followFeed(&follower{
 		table: platform.FeedOperator, apply: g.applyOperator,
 		progress: g.operatorProgress, history: g.relays.histories[platform.FeedOperator], restored: g.recordRestore,
+		// Instances that follow a relay whose connection fell silent learn of the
+		// change from heartbeats alone.
+		advanced: g.sendHeartbeat,
 	})
 }
 
--- a/httpread/transport.go
+++ b/httpread/transport.go
@@ -21,13 +21,12 @@
 
 // RoundTrip implements fasthttp.RoundTripper.
 func (Transport) RoundTrip(client *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
-	timeout := req.GetTimeOut()
+	began, timeout := time.Now(), req.GetTimeOut()
 	pooled, err := client.AcquireConn(timeout, req.ConnectionClose())
 	if err != nil {
 		return false, err
 	}
-	conn := pooled.Conn()
-	reusable, err := exchange(client, conn, req, resp, timeout)
+	reusable, err := exchange(client, pooled.Conn(), req, resp, deadlineOf(began, timeout))
 	if reusable {
 		client.ReleaseConn(pooled)
 	} else {
@@ -42,11 +41,8 @@
 
 // exchange writes a request and reads the response. reusable reports whether the
 // connection may carry another request.
-func exchange(client *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) (reusable bool, err error) {
-	if err := conn.SetWriteDeadline(earliest(timeout, client.WriteTimeout)); err != nil {
-		return false, err
-	}
-	if err := conn.SetReadDeadline(earliest(timeout, client.ReadTimeout)); err != nil {
+func exchange(client *fasthttp.HostClient, conn net.Conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (reusable bool, err error) {
+	if err := conn.SetWriteDeadline(earliest(deadline, deadlineOf(time.Now(), client.WriteTimeout))); err != nil {
 		return false, err
 	}
 	writer := client.AcquireWriter(conn)
@@ -57,6 +53,9 @@
 	if err := writer.Flush(); err != nil {
 		return false, err
 	}
+	if err := conn.SetReadDeadline(earliest(deadline, deadlineOf(time.Now(), client.ReadTimeout))); err != nil {
+		return false, err
+	}
 	reader := client.AcquireReader(conn)
 	defer client.ReleaseReader(reader)
 	if err := ReadFinalHead(reader, &resp.Header); err != nil {
@@ -114,14 +113,20 @@
 	}
 }
 
-// earliest returns the deadline of the shorter of two timeouts, of which 0 means
-// none.
-func earliest(a, b time.Duration) time.Time {
-	if a == 0 || b > 0 && b < a {
-		a = b
-	}
-	if a == 0 {
+// deadlineOf returns the end of a timeout, or the zero time if it is 0, which
+// means that there is none.
+func deadlineOf(began time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(a)
+	return began.Add(timeout)
+}
+
+// earliest returns the earlier of two deadlines, of which the zero time means
+// none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
 }
