gateway: a damaged response does not eject its target at once; poison: times derive from the report interval

A damaged body whose bytes were all read counted as a connection that the target had closed before any work, and ejected the target (or was taken for a stale idle connection). Only closed connections count so now.

TestOneDamagedResponseDoesNotEjectTheTarget failed before.

The times by which the loss of a silent target is judged follow beat_interval of the settings; they are the same as before at 1.5 s.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -105,8 +105,9 @@
 }
 
 // follows reports whether the target of x was lost after that of another exchange
-// was: x is then no victim of what took the other target down.
-func (x exchange) follows(earlier exchange) bool {
+// was: x is then no victim of what took the other target down. Losses that become
+// known noticeSpread apart are separate ones.
+func (x exchange) follows(earlier exchange, noticeSpread time.Duration) bool {
 	switch {
 	case x.target == earlier.target:
 		return false
@@ -171,10 +172,10 @@
 // crashes returns the number of distinct targets, and whether one of them was lost
 // after another one. Targets that were all lost at the same time may have a common
 // reason for it.
-func (s *suspect) crashes() (distinct int, consecutive bool) {
+func (s *suspect) crashes(noticeSpread time.Duration) (distinct int, consecutive bool) {
 	for _, earlier := range s.evidence {
 		for _, x := range s.evidence {
-			consecutive = consecutive || x.follows(earlier)
+			consecutive = consecutive || x.follows(earlier, noticeSpread)
 		}
 	}
 	return len(s.evidence), consecutive
@@ -210,7 +211,9 @@
 	served    servedRequests
 	// exposures are the exchanges without a response of this instance, by target.
 	exposures map[uint64]*exposures
-	pending   []pendingReport
+	// reportInterval is how often targets renew their registry entries.
+	reportInterval time.Duration
+	pending        []pendingReport
 	// cleared are suspects of other instances that were served here.
 	cleared []uint64
 	changes []Change
@@ -221,7 +224,7 @@
 
 // New returns the detector of an instance.
 func New(self string) *Detector {
-	return &Detector{self: self, suspects: map[uint64]*suspect{}, verdicts: map[uint64]*verdict{}, exposures: map[uint64]*exposures{}}
+	return &Detector{self: self, suspects: map[uint64]*suspect{}, verdicts: map[uint64]*verdict{}, exposures: map[uint64]*exposures{}, reportInterval: defaultReportInterval}
 }
 
 // SetInstances sets the names of the other live instances.
@@ -354,7 +357,7 @@
 		s.evidence = s.evidence[1:]
 	}
 	s.evidence = append(s.evidence, x)
-	if crashes, consecutive := s.crashes(); crashes >= minCrashes && consecutive {
+	if crashes, consecutive := s.crashes(d.noticeSpread()); crashes >= minCrashes && consecutive {
 		d.declare(now, x.fingerprint, true, crashes)
 	}
 }
--- a/core/poison/exposure.go
+++ b/core/poison/exposure.go
@@ -12,19 +12,16 @@
 	// abandonSlack is how long after the end of an exchange its target may still
 	// begin to run the request: it learns of the end a little later, if at all.
 	abandonSlack = 500 * time.Millisecond
-	// minSilence is how long a target whose registry entry ended must have sent
-	// nothing to count as lost. Others leave without notice, and go on responding.
-	minSilence = 2 * time.Second
+	// defaultReportInterval is the interval at which targets renew their registry
+	// entries, unless SetReportInterval is called. An entry ends after three of
+	// them without a report, so at least two after the loss of its target.
+	defaultReportInterval = 1500 * time.Millisecond
 	// minDowntime is the shortest time between the loss of a target and the entry
 	// of its next start.
 	minDowntime = time.Second
 	// lossUncertainty is by how much a target that fell silent may have been lost
 	// later than its last response or the start of the exchange.
 	lossUncertainty = time.Second
-	// noticeSpread is the longest time between the notices of the losses of two
-	// targets that were lost at the same time: entries end up to a report interval
-	// apart, and targets that are back earlier restart.
-	noticeSpread = 3 * time.Second
 	// maxRunTime is how long a target that has not responded to a request may still
 	// be running it, and begin to run others.
 	maxRunTime = 2 * time.Second
@@ -32,6 +29,23 @@
 	maxEndedExposures = 256
 )
 
+// SetReportInterval sets the interval at which targets renew their registry
+// entries.
+func (d *Detector) SetReportInterval(interval time.Duration) {
+	if interval > 0 {
+		d.reportInterval = interval
+	}
+}
+
+// minSilence is how long a target whose registry entry ended must have sent
+// nothing to count as lost. Others leave without notice, and go on responding.
+func (d *Detector) minSilence() time.Duration { return d.reportInterval * 4 / 3 }
+
+// noticeSpread is the longest time between the notices of the losses of two
+// targets that were lost at the same time: entries end up to a report interval
+// apart, and targets that are back earlier restart.
+func (d *Detector) noticeSpread() time.Duration { return 2 * d.reportInterval }
+
 // exposure is an exchange to which a target has not responded.
 type exposure struct {
 	fingerprint uint64
@@ -132,8 +146,8 @@
 // RecordLapse records that the registry entry of a target ended though it did not
 // announce that it leaves. The target is lost if it has been silent.
 func (d *Detector) RecordLapse(now time.Time, target uint64) {
-	if e := d.exposures[target]; e != nil && now.Sub(e.alive) >= minSilence {
-		d.recordLoss(now, target, minSilence)
+	if e := d.exposures[target]; e != nil && now.Sub(e.alive) >= d.minSilence() {
+		d.recordLoss(now, target, d.minSilence())
 	}
 }
 
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -17,6 +17,9 @@
 	// Zones maps each zone to its region.
 	Zones map[string]string
 	Retry RetryRule
+	// ReportInterval is how often targets renew their registry entries, 0 if that
+	// is not known.
+	ReportInterval time.Duration
 }
 
 // Engine makes the decisions from the document and from what is known of
@@ -68,7 +71,7 @@
 
 // NewEngine returns an engine without a document or targets.
 func NewEngine(c Config) *Engine {
-	return &Engine{
+	e := &Engine{
 		self: c.Self, zones: c.Zones, retry: c.Retry,
 		targets:       map[TargetID]*target{},
 		byService:     map[string][]*target{},
@@ -85,6 +88,8 @@
 		notices:       map[TargetID]*notice{},
 		demands:       map[demandGroup]*eventRate{},
 	}
+	e.poison.SetReportInterval(c.ReportInterval)
+	return e
 }
 
 // Document returns the active document, or nil.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -118,7 +118,7 @@
 		closeQuietly(conn)
 		out.Result, out.err = failureResult(err, bound, req.deadline), err
 		out.Cause = breakCause(err)
-		if out.Result == steer.Broken && conn.br.Buffered() == 0 && time.Since(sentAt) < s.RTT+resetMargin {
+		if out.Result == steer.Broken && out.Cause == steer.ClosedByTarget && conn.br.Buffered() == 0 && time.Since(sentAt) < s.RTT+resetMargin {
 			out.Immediate, out.StaleConnection = !reused, reused
 		}
 		if out.StaleConnection {
--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"pistachioford.example/pistachioford/httpread/framingtest"
 )
 
@@ -38,3 +41,24 @@
 	}
 	return body, nil
 }
+
+// Guards against a target that is out of use after one damaged response, as if it
+// closed connections at once.
+func TestOneDamagedResponseDoesNotEjectTheTarget(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	damaged := true
+	s.startTarget("i-1", func(conn net.Conn, r *receivedRequest) bool {
+		if !damaged {
+			return respondOK(conn, r)
+		}
+		damaged = false
+		_, err := io.WriteString(conn, successHead(r)+"Transfer-Encoding: chunked\r\n\r\n2\r\nokXY")
+		return err == nil
+	})
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	c := s.connect(g)
+	is.Equal(c.do("POST", "/order/1", "one pallet").status, 502)
+	is.Equal(c.do("POST", "/order/2", "one pallet").status, 200)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 func New(node *platform.Node) *Gateway {
 	engineConfig := steer.Config{
 		Self:  steer.Self{Name: node.Name, Zone: node.Zone, Region: node.Region},
-		Zones: node.Zones,
+		Zones: node.Zones, ReportInterval: node.HeartbeatInterval,
 		Retry: steer.RetryRule{
 			Ratio: node.Bounds.RetryRatio, Extra: node.Bounds.RetryExtra, Window: node.Bounds.RetryWindow,
 		},
--- a/httpread/chunked.go
+++ b/httpread/chunked.go
@@ -30,7 +30,8 @@
 	// onlyAnnounced is set.
 	announced     [][]byte
 	onlyAnnounced bool
-	ended         bool
+	// err is the result of reading beyond the last chunk.
+	err error
 }
 
 // NewChunkedReader returns a reader of the body that begins at the next byte of
@@ -49,18 +50,18 @@
 }
 
 func (r *ChunkedReader) Read(p []byte) (int, error) {
-	if r.ended {
-		return 0, io.EOF
+	if r.err != nil {
+		return 0, r.err
 	}
 	n, err := r.chunks.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
+	r.err = io.EOF
 	if err := r.skipTrailer(); err != nil {
-		return n, err
+		r.err = err
 	}
-	r.ended = true
-	return n, io.EOF
+	return n, r.err
 }
 
 // skipTrailer reads up to the empty line that ends a chunked body.
