soak: targets that fall silent, and damaged responses

The request that crashes targets makes them silent with even seeds; a fault damages a byte of the framing of a third of a target's responses.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +26,10 @@
 	boot, sequence int
 	// removed is set while a fault keeps the server's entry out of the store.
 	removed bool
+	// damages is set while a fault damages some of the server's responses.
+	damages bool
+	// silentUntil is when a server that has fallen silent is back.
+	silentUntil time.Time
 }
 
 // daemon is one process of the daemon under test.
@@ -55,8 +61,12 @@
 	mu sync.Mutex
 	// evacuations counts the evacuations of each zone in progress.
 	evacuations map[string]int
-	// crashes counts the servers that poison requests have crashed.
-	crashes int
+	// crashes counts the servers that poison requests have crashed. They fall
+	// silent if silentCrashes is set, and close the connection otherwise.
+	crashes       int
+	silentCrashes bool
+	// silent holds the connections of silent servers, so that they stay open.
+	silent []net.Conn
 
 	servers []*server
 	daemons []*daemon
@@ -165,10 +175,19 @@
 // poisonPath is the path of an order that crashes each server which runs it.
 const poisonPath = "/order/poison"
 
-// crash closes the connection of a poison request, and starts the server again
-// with a new boot.
+// silence is how long a server that falls silent takes to start again.
+const silence = 1500 * time.Millisecond
+
+// crash closes the connection of a poison request, or makes the server silent,
+// and starts the server again with a new boot.
 func (c *cluster) crash(s *server, rw http.ResponseWriter) {
-	if conn, _, err := http.NewResponseController(rw).Hijack(); err == nil {
+	if c.silentCrashes {
+		c.mu.Lock()
+		s.silentUntil = time.Now().Add(silence)
+		c.mu.Unlock()
+		c.hold(rw)
+		time.Sleep(silence)
+	} else if conn, _, err := http.NewResponseController(rw).Hijack(); err == nil {
 		_ = conn.Close()
 	}
 	c.mu.Lock()
@@ -182,9 +201,30 @@
 	}
 }
 
+// hold leaves a connection open without a response.
+func (c *cluster) hold(rw http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(rw).Hijack(); err == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.silent = append(c.silent, conn)
+	}
+}
+
+// isSilent reports whether a server is silent, or has been since a time.
+func (c *cluster) isSilent(s *server, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return since.Before(s.silentUntil)
+}
+
 const serviceTime = 20 * time.Millisecond
 
 func (c *cluster) handle(s *server, rw http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	if c.isSilent(s, began) {
+		c.hold(rw)
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	if r.Header.Get("X-Expect-Instance") != s.id {
 		rw.Header().Set("X-Request-Id", id)
@@ -199,12 +239,51 @@
 		c.crash(s, rw)
 		return
 	}
+	if c.isSilent(s, began) {
+		c.hold(rw)
+		return
+	}
+	c.mu.Lock()
+	damages := s.damages
+	c.mu.Unlock()
+	if damages && rand.IntN(3) == 0 {
+		writeDamaged(rw, id, fmt.Sprintf("%s %s", id, r.URL.Path))
+		return
+	}
 	rw.Header().Set("X-Request-Id", id)
 	rw.Header().Set("X-Server-Seal", "mac-"+id)
 	rw.Header().Set("X-Server-Load", "1,0,3")
 	_, _ = fmt.Fprintf(rw, "%s %s", id, r.URL.Path)
 }
 
+// writeDamaged writes a response with one wrong byte in its framing, and closes
+// the connection in half of the cases.
+func writeDamaged(rw http.ResponseWriter, id, body string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	fields := fmt.Sprintf("X-Request-Id: %s\r\nX-Server-Seal: mac-%s\r\n", id, id)
+	parts := []string{"HTTP/1.1 200 OK\r\n", fields, fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body}
+	if rand.IntN(2) == 0 {
+		parts = []string{"HTTP/1.1 200 OK\r\n", fields, fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(body)), body, "\r\n0\r\n\r\n"}
+	}
+	framing := []byte(parts[2*rand.IntN((len(parts)+1)/2)])
+	for i, part := range parts {
+		if part == string(framing) {
+			framing[rand.IntN(len(framing))] ^= 1 << rand.IntN(8)
+			parts[i] = string(framing)
+			break
+		}
+	}
+	_, _ = conn.Write([]byte(strings.Join(parts, "")))
+	if rand.IntN(2) == 0 {
+		_ = conn.Close()
+		return
+	}
+	time.AfterFunc(5*time.Second, func() { _ = conn.Close() })
+}
+
 func (c *cluster) addDaemon(i int) error {
 	zone := zones[i%len(zones)]
 	d := &daemon{name: fmt.Sprintf("d-%d", i), zone: zone, address: fmt.Sprintf("%s.%d", c.addressBlock, i+1)}
@@ -265,6 +344,9 @@
 		<-d.exited
 		_ = d.log.Close()
 	}
+	for _, conn := range c.silent {
+		_ = conn.Close()
+	}
 	for _, s := range c.servers {
 		_ = s.http.Close()
 		_ = s.proxy.listener.Close()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -36,6 +36,7 @@
 	}},
 	{"restore", restoreStore},
 	{"leaving target", removeAndRestoreServer},
+	{"damaged responses", damageResponses},
 }
 
 // evacuate counts the beginning or the end of an evacuation, and writes or removes
@@ -74,6 +75,19 @@
 	}
 }
 
+// damageResponses makes a server damage some of its responses.
+func damageResponses(c *cluster, r *rand.Rand, duration time.Duration) {
+	s := c.randomServer(r)
+	set := func(damages bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.damages = damages
+	}
+	set(true)
+	time.Sleep(duration)
+	set(false)
+}
+
 // disturb applies a random mode other than pass to a proxy.
 func disturb(p *proxy, r *rand.Rand, duration time.Duration) {
 	p.setMode(mode(1 + r.IntN(int(modeCount)-1)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,6 +98,7 @@
 		_ = os.RemoveAll(dir)
 	}()
 	c.awaitReady(t)
+	c.silentCrashes = seed%2 == 0
 	r := rand.New(rand.NewPCG(seed, 7))
 	load := c.startLoad(seed)
 	load.callers.Go(func() { c.sendPoison(load, rand.New(rand.NewPCG(seed, 50))) })
