--- a/httpread/framingtest/framingtest.go
+++ b/httpread/framingtest/framingtest.go
@@ -31,6 +31,7 @@
 				continue
 			}
 			t.Run(bodyName+", "+framingName, func(t *testing.T) {
+				t.Parallel()
 				for _, end := range []error{io.EOF, os.ErrDeadlineExceeded} {
 					if end != io.EOF && isUnframed {
 						continue
