--- a/core/poison/exposure.go
+++ b/core/poison/exposure.go
@@ -163,10 +163,10 @@
 	}
 	delete(d.exposures, target)
 	reported := map[uint64]bool{}
-	lostBy := e.lostBy(now)
+	latestStart := e.latestStart(now)
 	for _, x := range slices.Concat(e.waiting, e.ended) {
 		isOld := !x.ended.IsZero() && now.Sub(x.ended) >= exposureTTL
-		if isOld || now.Sub(x.sent) < minAge || x.sent.After(lostBy) || reported[x.fingerprint] {
+		if isOld || now.Sub(x.sent) < minAge || x.sent.After(latestStart) || reported[x.fingerprint] {
 			continue
 		}
 		reported[x.fingerprint] = true
@@ -174,9 +174,9 @@
 	}
 }
 
-// lostBy returns when a lost target can no longer have begun to run a request: it
-// had not responded for long to an earlier one.
-func (e *exposures) lostBy(now time.Time) time.Time {
+// latestStart returns the time after which a lost target cannot have begun to run a
+// request: it had not responded for long to an earlier one.
+func (e *exposures) latestStart(now time.Time) time.Time {
 	latest := now
 	for _, x := range slices.Concat(e.waiting, e.ended) {
 		end := x.ended
--- a/core/steer/engine.go
+++ b/core/steer/engine.go
@@ -172,7 +172,7 @@
 		return false
 	}
 	if t != nil && r.Boot != t.Boot {
-		e.recordEndOf(now, t)
+		e.recordRestart(now, t)
 	}
 	if t == nil || r.Boot != t.Boot || r.Address != t.Address || r.Service != t.Service {
 		e.removeTarget(r.ID)
@@ -221,8 +221,8 @@
 	e.expireNotices(now)
 }
 
-// recordEndOf records that a target has started again.
-func (e *Engine) recordEndOf(now time.Time, t *target) {
+// recordRestart records that a target has started again, after it left or was lost.
+func (e *Engine) recordRestart(now time.Time, t *target) {
 	if t.hasLeft() {
 		e.poison.RecordLeave(t.bootHash())
 		return
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -61,20 +61,20 @@
 	draining  bool
 }
 
-// callerSource reads from a connection, after the bytes that a buffer of another
-// size has left.
+// callerSource reads from a connection, after the bytes that were unread in a buffer
+// of another size.
 type callerSource struct {
-	conn net.Conn
-	left []byte
+	conn   net.Conn
+	unread []byte
 }
 
 func (s *callerSource) Read(p []byte) (int, error) {
-	if len(s.left) == 0 {
-		s.left = nil
+	if len(s.unread) == 0 {
+		s.unread = nil
 		return s.conn.Read(p)
 	}
-	n := copy(p, s.left)
-	s.left = s.left[n:]
+	n := copy(p, s.unread)
+	s.unread = s.unread[n:]
 	return n, nil
 }
 
@@ -93,8 +93,8 @@
 // resizeBuffer replaces the read buffer by one of another size with the same
 // unread bytes. The ones that it cannot hold are read again.
 func (c *callerConn) resizeBuffer(size int) {
-	unread, _ := c.br.Peek(c.br.Buffered())
-	c.source.left = slices.Concat(unread, c.source.left)
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	c.source.unread = slices.Concat(buffered, c.source.unread)
 	c.br = bufio.NewReaderSize(c.source, size)
 }
 
--- a/httpread/head.go
+++ b/httpread/head.go
@@ -57,7 +57,8 @@
 	return err
 }
 
-// statusLine is the form of a status line up to the reason phrase.
+// statusLine is the form of a status line up to the reason phrase: v stands for
+// the minor version, f for the first digit of the status, d for the others.
 const statusLine = "HTTP/1.v fdd"
 
 // headState is the part of a head that the next byte belongs to.
