steer, traffic: a malformed response ends its request

The bodies were whole, those of a second target.

Cause: the steering took a response that the readers refuse for an exchange that had broken off, and sent a request that may run twice to another target. A target whose response nobody can read has responded, perhaps with a failure; a success of another one under the same id contradicts it.

Change: a malformed response ends the request with 502 (run: 504 unknown), reason malformed, for all kinds of request. httpread.BrokeOff draws the line for all readers: broken off is the beginning of a sound response and then the end of the connection; malformed is a byte that cannot be part of the response. Ways weighed in docs/design.md 17.

Elsewhere: `run` also counted malformed responses as crashes of a poison request, and retried a request that a peer had ended so. A success without the MAC was logged without its error; log lines of failed exchanges name the cause.

--- a/core/steer/engine_test.go
+++ b/core/steer/engine_test.go
@@ -28,6 +28,30 @@
 	}
 }
 
+// TestOnlyBrokenOffExchangeIsRetried guards against a success of another target
+// after a target sent bytes that cannot be its response, and against a request
+// that fails though its target only broke off.
+func TestOnlyBrokenOffExchangeIsRetried(t *testing.T) {
+	for _, path := range []string{"/read/1", "/order/1"} {
+		for cause, want := range map[BreakCause]Reason{ClosedByTarget: ReasonBroken, Unacknowledged: ReasonBroken, Malformed: ReasonMalformed} {
+			t.Run(path+" "+cause.String(), func(t *testing.T) {
+				is := is.New(t)
+				e := testEngine(t, "i", "a1")
+				addTargets(e, "s", 3, "a1")
+				r := newTestRequest(e, start, path, 5)
+				s := mustSend(t, e, start, r)
+				next, refusal := e.Finish(start, r, s, ExchangeReport{Result: Broken, Cause: cause})
+				is.Equal(next != nil, path == "/read/1" && cause != Malformed)
+				is.Equal(refusal == nil, next != nil)
+				is.True(r.MayHaveRun()) // the caller is not told that it did not run
+				if refusal != nil {
+					is.Equal(refusal.Reason, want)
+				}
+			})
+		}
+	}
+}
+
 // TestEjectedTargetReturnsAmongOthers guards against a target that never
 // returns after an ejection: its objects have their homes elsewhere meanwhile,
 // so that no request would probe it.
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -105,11 +105,14 @@
 	// ReasonHeldBack means that the targets which could take the request have
 	// named a limit, or asked for a pause.
 	ReasonHeldBack
+	// ReasonMalformed means that the target sent bytes that cannot be its
+	// response; the request may have run.
+	ReasonMalformed
 )
 
 var reasonNames = [...]string{
 	"none", "no_target", "too_late", "crasher", "shed", "unreachable", "broken", "timeout", "caller_gone",
-	"held_back",
+	"held_back", "malformed",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
@@ -242,10 +245,14 @@
 	// Unacknowledged means that the connection broke since the target, or a link,
 	// acknowledged nothing.
 	Unacknowledged
-	// Malformed means that the target sent bytes that are no valid response.
+	// Malformed means that the target sent bytes that cannot be its response.
 	Malformed
 )
 
+var breakCauseNames = [...]string{"closed", "unacknowledged", "malformed"}
+
+func (c BreakCause) String() string { return breakCauseNames[c] }
+
 // ExchangeReport describes the end of an exchange with a target.
 type ExchangeReport struct {
 	Result Result
@@ -399,6 +406,11 @@
 	case TimedOut:
 		return ReasonTimeout, r.Route.Kind.Retryable() && e.takeRetry(now, r)
 	default:
+		if report.Cause == Malformed {
+			// The target has responded, even if nobody can tell what: a success of
+			// another target would contradict it.
+			return ReasonMalformed, false
+		}
 		return ReasonBroken, r.Route.Kind.Retryable() && e.takeRetry(now, r)
 	}
 }
--- a/core/traffic/engine_test.go
+++ b/core/traffic/engine_test.go
@@ -36,6 +36,7 @@
 		"shed, with a key":   {Shed, true, 2, Responded},
 		"failed":             {Failed, true, 1, Responded},
 		"broken":             {Broken, true, 1, Unknown},
+		"malformed":          {Malformed, true, 1, Unknown},
 		"timed out":          {TimedOut, true, 1, Unknown},
 	}
 	for name, c := range cases {
@@ -60,6 +61,47 @@
 	}
 }
 
+// TestMalformedResponseIsNotRetried guards against a success of another upstream
+// or zone after an upstream sent bytes that cannot be its response, and against
+// a target, or a request, that counts as crashed since.
+func TestMalformedResponseIsNotRetried(t *testing.T) {
+	check := func(is *is.I, r *rig, sends int) {
+		is.Helper()
+		r.advance(200 * time.Millisecond)
+		is.Equal(len(actionsOf[Send](r))+len(actionsOf[Forward](r)), sends)
+		replies := actionsOf[Reply](r)
+		is.Equal(len(replies), 1)
+		is.Equal(replies[0].Outcome, Unknown)
+		is.Equal(replies[0].Reason, ReasonMalformed)
+		is.Equal(len(actionsOf[BroadcastPoison](r)), 0)
+		is.True(r.Idle())
+	}
+	for _, service := range []document.ServiceID{readUrgent, readNormal, readBackground, order, upload} {
+		t.Run(fmt.Sprintf("service %d", service), func(t *testing.T) {
+			r := newRig(nil)
+			r.end(r.submit(RequestArrived{Service: service}), Malformed)
+			check(is.New(t), r, 1)
+		})
+	}
+	for name, ev := range map[string]ExchangeEnded{
+		"from a peer":              {Result: Malformed},
+		"from an upstream of peer": {Result: UnknownAtPeer, Reason: ReasonMalformed, Attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(func(c *document.Compiled) { c.Groups[0].Targets[0] = nil })
+			r.addPeers()
+			r.hintFree("p2", 9)
+			r.hintFree("p3", 9)
+			id := r.submit(RequestArrived{Service: readNormal})
+			is.New(t).Equal(len(actionsOf[Forward](r)), 1)
+			row, _ := r.requests.find(id)
+			ev.ID, ev.Attempt = id, r.requests.rows[row].attempt
+			r.handle(ev)
+			check(is.New(t), r, 1)
+		})
+	}
+}
+
 // TestOnlyOwnerSaysNotRun guards against the outcome NotRun from an instance
 // that does not own the key, since an earlier attempt through another instance
 // may have run.
--- a/core/traffic/event.go
+++ b/core/traffic/event.go
@@ -117,6 +117,9 @@
 	// Broken means that the connection closed after sending began and before a
 	// complete response. The request may have run; the upstream may have crashed.
 	Broken
+	// Malformed means that the upstream sent bytes that cannot be its response.
+	// The request may have run.
+	Malformed
 	// TimedOut means that the deadline of the attempt passed.
 	TimedOut
 	// UnknownAtPeer means that a peer reported an unknown outcome.
--- a/core/traffic/exchange.go
+++ b/core/traffic/exchange.go
@@ -77,7 +77,7 @@
 		return route.Crash
 	case NotSent:
 		return route.Refused
-	case Failed, TimedOut:
+	case Failed, Malformed, TimedOut:
 		return route.Failure
 	default:
 		return route.Ignored
@@ -103,6 +103,10 @@
 		e.retryOrFinish(now, row, e.retryClass(r, ev.Latency), endingOf(ev))
 	case Broken:
 		e.reportCrash(now, row, ev)
+	case Malformed:
+		// The upstream has responded, even if nobody can tell what: a success of
+		// another one would contradict it.
+		e.finish(now, row, endingOf(ev))
 	default:
 		e.finish(now, row, endingOf(ev))
 	}
@@ -161,7 +165,7 @@
 		r.attempts++
 		e.retryOrFinish(now, row, limit.Costly, endingOf(ev))
 	case Failed, UnknownAtPeer:
-		if ev.Attempts == 0 {
+		if ev.Attempts == 0 || ev.Reason == ReasonMalformed {
 			e.finish(now, row, endingOf(ev))
 			return
 		}
@@ -181,7 +185,7 @@
 	}
 	p := &e.peers.rows[i]
 	switch {
-	case ev.Result == NotSent || ev.Result == Broken:
+	case ev.Result == NotSent || ev.Result == Broken || ev.Result == Malformed:
 		p.pausedUntil = now.Add(peerPause)
 	case ev.Result != Shed:
 	case ev.Reason == ReasonShiftCap && p.region != e.region:
--- a/core/traffic/finish.go
+++ b/core/traffic/finish.go
@@ -43,6 +43,8 @@
 		return ReasonNotSent
 	case Broken, Canceled:
 		return ReasonBroken
+	case Malformed:
+		return ReasonMalformed
 	case TimedOut:
 		return ReasonTimeout
 	case UnknownAtPeer:
--- a/core/traffic/reason.go
+++ b/core/traffic/reason.go
@@ -28,6 +28,7 @@
 	ReasonAttempts
 	// Causes of unknown outcomes and of retries.
 	ReasonBroken
+	ReasonMalformed
 	ReasonTimeout
 	ReasonNotSent
 	ReasonUpstreamError
@@ -65,6 +66,7 @@
 	ReasonRetryBudget:       "retry_budget",
 	ReasonAttempts:          "attempts",
 	ReasonBroken:            "broken",
+	ReasonMalformed:         "malformed",
 	ReasonTimeout:           "timeout",
 	ReasonNotSent:           "not_sent",
 	ReasonUpstreamError:     "upstream_error",
--- a/core/traffic/reason_test.go
+++ b/core/traffic/reason_test.go
@@ -248,6 +248,11 @@
 			r.advance(time.Second)
 			return r
 		},
+		{CountRefusal, ReasonMalformed}: func() *rig {
+			r := newRig(nil)
+			r.end(r.submit(read), Malformed)
+			return r
+		},
 		{CountRefusal, ReasonTimeout}: func() *rig {
 			r := newRig(nil)
 			r.end(r.submit(RequestArrived{Service: order}), TimedOut)
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -74,11 +74,13 @@
 
 // nodeRequest is a request as one node handles it.
 type nodeRequest struct {
-	client    *clientRequest
-	arrived   RequestArrived
-	onReply   func(Reply) // set for forwarded requests
-	replied   bool
-	released  bool
+	client   *clientRequest
+	arrived  RequestArrived
+	onReply  func(Reply) // set for forwarded requests
+	replied  bool
+	released bool
+	// malformed is set once an upstream sent bytes that cannot be its response.
+	malformed bool
 	exchanges map[Attempt]*exchange
 }
 
@@ -272,6 +274,9 @@
 	}
 	req.replied = true
 	n.checkOwner(req, r)
+	if req.malformed && r.Outcome == Responded {
+		n.w.reportViolation("%s got a response after a malformed one", req.client.identity)
+	}
 	if req.onReply != nil {
 		req.onReply(r)
 		return
@@ -375,7 +380,14 @@
 		endAfter(2*time.Millisecond, ExchangeEnded{Result: Broken})
 	case w.chance(f.breakAfter):
 		run()
-		endAfter(serviceTime, ExchangeEnded{Result: Broken})
+		if w.random.IntN(2) == 0 {
+			endAfter(serviceTime, ExchangeEnded{Result: Broken})
+			return
+		}
+		w.After(serviceTime, func() {
+			req.malformed = req.malformed || !x.ended
+			end(ExchangeEnded{Result: Malformed})
+		})
 	case w.chance(f.hang):
 		run()
 	case w.chance(f.fail):
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/httpread"
 	"pistachioford.example/pistachioford/platform"
 )
 
@@ -127,7 +128,7 @@
 		return out
 	}
 	out.response = resp
-	out.ExchangeReport = classify(resp, s)
+	out.ExchangeReport, out.err = classify(resp)
 	giveBack := func(complete bool) {
 		bound := x.unbind()
 		idleTimeout := keepAliveTimeout(resp)
@@ -194,14 +195,13 @@
 
 // breakCause returns why an exchange ended with an error.
 func breakCause(err error) steer.BreakCause {
-	var network *net.OpError
 	switch {
+	case !httpread.BrokeOff(err):
+		return steer.Malformed
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE):
 		return steer.ClosedByTarget
-	case errors.As(err, &network):
-		return steer.Unacknowledged
 	default:
-		return steer.Malformed
+		return steer.Unacknowledged
 	}
 }
 
@@ -322,9 +322,9 @@
 	return nil
 }
 
-// classify returns the report on an exchange that ended with a complete
-// response.
-func classify(resp *response, s *steer.Send) steer.ExchangeReport {
+// classify returns the report on an exchange that ended with a complete response,
+// and why it must not be forwarded if it is no valid one.
+func classify(resp *response) (steer.ExchangeReport, error) {
 	report := steer.ExchangeReport{
 		ResponseBytes: len(resp.body),
 		Load:          platform.ParseLoad(resp.header.Peek(platform.HeaderLoad)),
@@ -335,17 +335,22 @@
 		// Otherwise another target responded.
 		report.Notice = noticeOf(resp)
 	}
-	switch {
-	case status == fasthttp.StatusMisdirectedRequest:
+	if status == fasthttp.StatusMisdirectedRequest {
 		report.Result = steer.Misdirected
-	case len(resp.header.Peek(platform.HeaderNotRun)) > 0:
+		return report, nil
+	}
+	if len(resp.header.Peek(platform.HeaderNotRun)) > 0 {
 		report.Result = steer.Shed
-	case resp.validate() != nil:
+		return report, nil
+	}
+	if err := resp.validate(); err != nil {
 		report.Result, report.Cause = steer.Broken, steer.Malformed
-	case status >= fasthttp.StatusInternalServerError:
+		return report, err
+	}
+	if status >= fasthttp.StatusInternalServerError {
 		report.Result = steer.Failed
 	}
-	return report
+	return report, nil
 }
 
 // noticeOf returns what the target states of itself in a response.
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -73,7 +73,7 @@
 			}
 			r := &request{header: &fasthttp.RequestHeader{}}
 			_ = (&reply{response: resp}).appendTo(nil, r, false)
-			classify(resp, &steer.Send{})
+			_, _ = classify(resp)
 			keepAliveTimeout(resp)
 			resp.release()
 		} else {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -152,9 +152,13 @@
 	if retried {
 		g.metrics.increment(fmt.Sprintf(`repeats_total{service=%q,reason=%q}`, r.Service, out.Result))
 	}
+	cause := ""
+	if out.Result == steer.Broken {
+		cause = out.Cause.String()
+	}
 	telemetry.Event("exchange_failed", telemetry.F("request", string(r.id)), telemetry.F("route", r.Route.Name),
 		telemetry.F("target", s.Target), telemetry.F("address", s.Address), telemetry.F("zone", s.Zone),
-		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("error", out.err),
+		telemetry.F("attempt", s.Attempt), telemetry.F("result", out.Result), telemetry.F("cause", cause), telemetry.F("error", out.err),
 		telemetry.F("forgotten", out.StaleConnection), telemetry.F("fingerprint", formatFingerprint(r.Fingerprint)),
 		telemetry.F("load", oneDecimal(s.Load)), telemetry.F("load_age_ms", s.LoadAge.Milliseconds()),
 		telemetry.F("expected_ms", s.EstimatedCost.Milliseconds()), telemetry.F("document", g.documentVersion()),
--- a/httpread/head.go
+++ b/httpread/head.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -21,6 +22,14 @@
 	ErrHeadTooLong = errors.New("the head of the response is too long")
 )
 
+// BrokeOff reports whether a response ended with an error of its connection, after
+// bytes that may begin a sound response. All other errors of this package mean
+// that bytes have arrived which cannot be that response.
+func BrokeOff(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 // ReadHead reads the status line and the fields of a response. It returns an
 // error as soon as a byte cannot be part of them, and io.EOF if the connection
 // was closed before the first byte.
--- a/operate/explain.go
+++ b/operate/explain.go
@@ -45,6 +45,7 @@
 	"shed":                "refused, not run: the targets were full",
 	"unreachable":         "refused, not run: no connection to a target could be opened",
 	"broken":              "outcome unknown: the target broke off after the request was sent",
+	"malformed":           "outcome unknown: the target sent bytes that cannot be its response",
 	"timeout":             "outcome unknown: no answer within the caller's time or the route's timeout",
 	"caller_gone":         "the caller left before the answer",
 	"no_document":         "refused, not run: the instance had no document yet",
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/core/traffic"
+	"pistachioford.example/pistachioford/httpread"
 )
 
 // Body is the body of a request: buffered bytes, followed by the rest of the
@@ -161,6 +162,8 @@
 		return traffic.Canceled
 	case isTimeout(err):
 		return traffic.TimedOut
+	case !httpread.BrokeOff(err):
+		return traffic.Malformed
 	default:
 		return traffic.Broken
 	}
