listeners: a planned stop resets no connection that is being opened

Cause: callers see a connection as open a round trip before the instance does. The drain accepted what waited in the backlog and ended the listener at once; handshakes that completed later were reset.

Change: FinishHandshakes binds the listening socket to an interface that does not exist, so that new connections are refused as by a closed port, and leaves 250 ms for those that have begun. `pistachioford run`, which closed its ports without even accepting their backlog, does the same. Ways weighed in docs/platform.md.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"pistachioford.example/pistachioford/telemetry"
@@ -21,6 +22,15 @@
 	openConns atomic.Int64
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSUP
+	}
+	return socket.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
--- a/entry/proxy_test.go
+++ b/entry/proxy_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -350,3 +351,50 @@
 	is.Equal((&View{Document: doc, Sites: fixedSites{0}}).homeRegion(client), 1)
 	is.Equal((&View{Document: doc, Sites: fixedSites{9}}).homeRegion(client), -1)
 }
+
+// Guards against a planned stop that resets connections which callers have just
+// opened. The load: callers open a connection for each request, without a pause.
+func TestShutdownAnswersEveryOpenedConnection(t *testing.T) {
+	is := is.New(t)
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") })
+	for range 5 {
+		i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		var answered atomic.Int32
+		for range 16 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					conn, err := net.DialTimeout("tcp4", i.callers.Address(), time.Second)
+					if err != nil {
+						// Refused: the caller tries another instance.
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+					_, err = io.WriteString(conn, "GET /reads/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+					if err == nil {
+						_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+					}
+					if err != nil {
+						t.Error(err)
+					}
+					answered.Add(1)
+					_ = conn.Close()
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		is.NoErr(i.leave(ctx))
+		cancel()
+		close(stop)
+		callers.Wait()
+		is.True(answered.Load() > 16)
+	}
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -55,7 +55,10 @@
 
 // Shutdown closes the listener and idle connections, and waits for all requests
 // in flight, including uploads that have only partly arrived.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	listeners.FinishHandshakes(ctx, s.listener)
+	return s.http.ShutdownWithContext(ctx)
+}
 
 // CallerHandler passes lookups to lookup and all other requests to proxy.
 func CallerHandler(lookup *Lookup, proxy *Proxy) fasthttp.RequestHandler {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"pistachioford.example/core/poison"
 	"pistachioford.example/core/presence"
 	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/listeners"
 	"pistachioford.example/pistachioford/platform"
 	"pistachioford.example/pistachioford/telemetry"
 )
@@ -179,13 +180,14 @@
 }
 
 // stopAccepting closes the listener for requests. Connections that callers have
-// opened before are served, also those that were not accepted yet: closing the
-// listener would reset them.
+// begun to open before are served, also those that were not accepted yet: closing
+// the listener would reset them.
 func (g *Gateway) stopAccepting() {
 	listener, ok := g.requestListener.(*net.TCPListener)
 	if !ok {
 		return
 	}
+	listeners.FinishHandshakes(g.ctx, listener)
 	// Ends acceptCallers.
 	_ = listener.SetDeadline(time.Unix(1, 0))
 	<-g.acceptEnded
