gateway: a starting zone keeps to its relay beside load

What the store saw: TestStartingZoneReadsTheStoreOnce, beside 60 busy processes, up to 73 calls of 12 instances in 4 s, over the bound of 24 in 6 of 12 runs.

(1) An instance announced its readiness with its next regular heartbeat, so that several took themselves for the relay. (2) A change counted as overdue 0.4 s after another instance's report, although the pause after each change takes 0.35 s of that; a delay of 50 ms sent followers to the store, where they were ahead of the others, which became overdue too, and the pause of 1 s there made them overdue again. (3) A relay that was late once counted as failed for 5 s.

Change: readiness is announced at once; the pause after a change does not count as lateness; a follower whose relay is usable returns to it after the usual pause; a relay that was itself behind is used again once it reports the change.

Tests: TestReadinessIsAnnouncedAtOnce, TestPauseAfterAChangeIsNoLateness and TestFollowerReturnsToAUsableRelay failed in 3 of 3 runs before and pass in 3 of 3 under -race; TestRelayThatCaughtUpIsUsedAgain covers the new rule. TestOneInstanceOfAZoneFollowsTheStore waited for a state that only held until readiness was known (two followers of the document in a zone with two readers of it); it now waits for the settled one, two followers of the registry and one of the document, which it also finds on the old code; its bounds are unchanged.

--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,6 +165,93 @@
 	is.True(p.beginWait())
 }
 
+// Guards against followers of a busy table that leave their relay for the store
+// since a pause after a change ended late: the instances that read from the store
+// are ahead of the others, and make them leave as well.
+func TestPauseAfterAChangeIsNoLateness(t *testing.T) {
+	is := is.New(t)
+	p := newProgress()
+	p.advance(platform.Position{Newest: 5, Covered: 5})
+	p.recordPeerVersion(7)
+	began := time.Now()
+	p.pause(t.Context(), feedBatchDelay)
+	time.Sleep(propagationTime - feedBatchDelay + 20*time.Millisecond)
+	if time.Since(began) < feedBatchDelay+propagationTime {
+		is.True(!p.isOverdue(time.Now()))
+		is.True(p.beginWait()) // the call may be held
+	}
+	select {
+	case <-p.interrupt:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the held call was not given up")
+	}
+	is.True(time.Since(began) >= feedBatchDelay+propagationTime)
+	is.True(p.isOverdue(time.Now()))
+}
+
+// Guards against followers that call the store for seconds since their relay was
+// behind once: a relay that has caught up is used again.
+func TestRelayThatCaughtUpIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	report := func(document, registry feed.Version) presence.Heartbeat {
+		return presence.Heartbeat{Name: "relay", Document: document, Registry: registry}
+	}
+	r := newRelays()
+	is.True(r.isUsable(now, report(0, 0)))
+	r.recordLate(now, platform.FeedRegistry, 7, report(9, 6))
+	is.True(!r.isUsable(now, report(9, 6)))
+	is.True(r.isUsable(now, report(9, 7)))
+	is.True(r.isUsable(now.Add(relayRetryDelay), report(9, 6)))
+
+	// A relay that had the change does not reach this instance.
+	r.recordLate(now, platform.FeedRegistry, 7, report(9, 7))
+	is.True(!r.isUsable(now, report(9, 8)))
+	is.True(r.isUsable(now.Add(relayRetryDelay), report(9, 7)))
+
+	// A failed call says more than an earlier lateness.
+	r.recordLate(now, platform.FeedOperator, 10, report(9, 7))
+	r.recordFailure(now, io.EOF)
+	is.True(!r.isUsable(now, report(10, 7)))
+}
+
+// Guards against a follower that stays with the store after one call to it, since
+// the pause that spares the store is longer than a change may be late.
+func TestFollowerReturnsToAUsableRelay(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	g := s.startInstance("g")
+	relay := s.startSilentRelay(g)
+	s.waitFor("relay", func() bool { return relayAddress(g.self(), g.peers.live(time.Now())) == relay.heartbeat.PeerAddr })
+	is.Equal(g.batchDelay(platform.FeedRegistry, false), feedBatchDelay)
+	g.relays.recordFailure(time.Now(), io.EOF)
+	is.Equal(g.batchDelay(platform.FeedRegistry, false), fallbackBatchDelay)
+}
+
+// Guards against instances that choose different relays while a zone starts,
+// since each learns late which others are ready. Before, a heartbeat said so at
+// any time within an interval.
+func TestReadinessIsAnnouncedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	first := s.startInstance("first")
+	const starts = 10
+	atOnce := 0
+	for i := range starts {
+		name := fmt.Sprintf("g-%d", i)
+		started := s.startInstance(name)
+		began := time.Now()
+		s.waitFor("a heartbeat that says ready", func() bool {
+			return slices.ContainsFunc(first.peers.live(time.Now()), func(h presence.Heartbeat) bool { return h.Name == name && h.Ready })
+		})
+		if time.Since(began) < presence.Interval/3 {
+			atOnce++
+		}
+		started.Cleanup()
+	}
+	is.True(atOnce >= starts*8/10)
+}
+
 // Guards against followers that a relay holds though it knows that it has lost
 // the store itself: they could read the changes from the store.
 func TestRelayThatLosesTheStoreReleasesItsFollowers(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,8 @@
 	verdictsKnown atomic.Bool
 	// hasRelay is set while this instance follows the document from another one.
 	hasRelay atomic.Bool
+	// announcedReady is set once the others were told that this instance is ready.
+	announcedReady atomic.Bool
 	// drain is set during a planned stop.
 	drain atomic.Pointer[steer.DrainPlan]
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -458,15 +458,17 @@
 	is := is.New(t)
 	s := newSite(t)
 	instances := []*Gateway{s.startInstance("a"), s.startInstance("b"), s.startInstance("c")}
-	s.waitFor("relays", func() bool {
-		followers := 0
+	followers := func(table platform.Feed) (n int) {
 		for _, g := range instances {
-			if _, relayed := g.selectSource(&follower{next: 1, progress: g.operatorProgress}, 0); relayed {
-				followers++
+			if _, relayed := g.selectSource(&follower{table: table, next: 1, progress: newProgress()}, 0); relayed {
+				n++
 			}
 		}
-		return followers == 2
-	})
+		return n
+	}
+	// Of a zone alone, the other advertised instance follows the document from the
+	// store too.
+	s.waitFor("relays", func() bool { return followers(platform.FeedRegistry) == 2 && followers(platform.FeedOperator) == 1 })
 	time.Sleep(maxLongPollWait + relayTimeoutMargin) // earlier calls have ended
 	before := s.store.Calls("/rows-feed")
 	s.setDocument(2)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -267,6 +267,15 @@
 	})
 }
 
+// announceReadiness sends a heartbeat if this instance has just become ready. The
+// choice of relays depends on which instances are ready: until all know it, they
+// choose different ones, and more instances than one follow the store.
+func (g *Gateway) announceReadiness() {
+	if g.ready() && !g.announcedReady.Swap(true) {
+		g.sendHeartbeat()
+	}
+}
+
 // anyLostStore reports whether an instance of a zone has lost the store.
 func anyLostStore(zone string, live []presence.Heartbeat) bool {
 	return slices.ContainsFunc(live, func(h presence.Heartbeat) bool { return h.Zone == zone && h.StoreLost })
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -111,6 +111,9 @@
 	mu sync.Mutex
 	// usableAt is when the relay may be called again after a call failed.
 	usableAt time.Time
+	// missed is the version of each table, or 0, that other instances had and the
+	// relay had not when it was late with it.
+	missed [2]feed.Version
 }
 
 func newRelays() *relays {
@@ -137,14 +140,47 @@
 	if errors.Is(err, errRelayRefused) {
 		delay = relayRefusalDelay
 	}
-	r.usableAt = now.Add(delay)
+	r.usableAt, r.missed = now.Add(delay), [2]feed.Version{}
 }
 
-// isUsable reports whether the relay may be called.
-func (r *relays) isUsable(now time.Time) bool {
+// recordLate records that the relay did not bring a change of a table in time. If
+// its newest heartbeat does not report the change, it may only be behind itself,
+// and not out of reach.
+func (r *relays) recordLate(now time.Time, table platform.Feed, missed feed.Version, relay presence.Heartbeat) {
+	r.recordFailure(now, errPollAbandoned)
+	if versionOf(table, relay) >= missed {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !now.Before(r.usableAt)
+	r.missed[table] = missed
+}
+
+// isUsable reports whether the relay may be called: some time after a failure, or
+// once it reports the change that it was late with.
+func (r *relays) isUsable(now time.Time, relay presence.Heartbeat) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(r.usableAt) {
+		return true
+	}
+	wasBehind := false
+	for table, missed := range r.missed {
+		if missed > versionOf(platform.Feed(table), relay) {
+			return false
+		}
+		wasBehind = wasBehind || missed > 0
+	}
+	return wasBehind
+}
+
+// versionOf returns the version of the newest change of a table that a heartbeat
+// reports.
+func versionOf(table platform.Feed, heartbeat presence.Heartbeat) feed.Version {
+	if table == platform.FeedRegistry {
+		return heartbeat.Registry
+	}
+	return heartbeat.Document
 }
 
 // nextFailures returns the failure count after a call failed. It is odd after a
@@ -189,10 +225,22 @@
 // usableRelay returns the address of the instance that relays a table to this
 // one, or an empty string if there is none or the last call to it failed.
 func (g *Gateway) usableRelay(now time.Time, table platform.Feed, live []presence.Heartbeat) string {
-	if !g.relays.isUsable(now) {
+	address := relayOf(table, g.self(), live)
+	if address == "" || !g.relays.isUsable(now, heartbeatFrom(address, live)) {
 		return ""
 	}
-	return relayOf(table, g.self(), live)
+	return address
+}
+
+// heartbeatFrom returns the newest heartbeat of the live instance with an address
+// for followers, or an empty one.
+func heartbeatFrom(address string, live []presence.Heartbeat) presence.Heartbeat {
+	for _, heartbeat := range live {
+		if heartbeat.PeerAddr == address {
+			return heartbeat
+		}
+	}
+	return presence.Heartbeat{}
 }
 
 // newerPeer returns the address of a live instance that knows a change which the
@@ -201,11 +249,7 @@
 func (g *Gateway) newerPeer(f *follower, live []presence.Heartbeat) string {
 	var newer []presence.Heartbeat
 	for _, heartbeat := range live {
-		version := heartbeat.Document
-		if f.table == platform.FeedRegistry {
-			version = heartbeat.Registry
-		}
-		if heartbeat.Ready && !f.progress.covers(version) {
+		if heartbeat.Ready && !f.progress.covers(versionOf(f.table, heartbeat)) {
 			newer = append(newer, heartbeat)
 		}
 	}
@@ -224,10 +268,12 @@
 }
 
 // batchDelay returns the pause after a call that returned changes. An instance
-// that calls the store in place of its relay pauses longer: if a relay fails,
-// all instances of its zone do.
+// that calls the store in place of a relay that failed pauses longer: if a relay
+// fails, all instances of its zone do. One whose relay is usable returns to it
+// before it can be overdue again.
 func (g *Gateway) batchDelay(table platform.Feed, relayed bool) time.Duration {
-	if !relayed && relayOf(table, g.self(), g.peers.live(time.Now())) != "" {
+	live := g.peers.live(time.Now())
+	if !relayed && g.usableRelay(time.Now(), table, live) == "" && relayOf(table, g.self(), live) != "" {
 		return fallbackBatchDelay
 	}
 	return feedBatchDelay
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -234,6 +234,10 @@
 	// in a pause. A call is held if its source responds only once there is a
 	// change or the wait is over.
 	waiting bool
+	// advancedAt is when the newest change was read.
+	advancedAt time.Time
+	// watched is set while a timer is to call interruptIfOverdue.
+	watched bool
 	// interrupt ends the wait.
 	interrupt chan struct{}
 }
@@ -256,7 +260,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.newest = max(p.newest, at.Newest)
-	p.covered = max(p.covered, at.Covered)
+	if at.Covered > p.covered {
+		p.covered, p.advancedAt = at.Covered, time.Now()
+	}
 	kept := p.ahead[:0]
 	for _, reported := range p.ahead {
 		if reported.version > p.covered {
@@ -285,9 +291,42 @@
 	return len(p.ahead) > 0
 }
 
+// overdueIn returns how long a change that another instance knows may still be on
+// its way, and false if there is none. A change that was just read delays the
+// next one by a pause: if that counted as lateness, all followers of a busy zone
+// would leave their relay for the store, be ahead of the others there, and make
+// them leave as well.
+func (p *progress) overdueIn(now time.Time) (left time.Duration, isBehind bool) {
+	if len(p.ahead) == 0 {
+		return 0, false
+	}
+	due := p.ahead[0].reportedAt.Add(propagationTime)
+	if afterPause := p.advancedAt.Add(feedBatchDelay + propagationTime); afterPause.After(due) {
+		due = afterPause
+	}
+	return max(due.Sub(now), 0), true
+}
+
 // isOverdue reports whether another instance has been ahead for longer than a
 // change may be on its way.
-func (p *progress) isOverdue(now time.Time) bool { return p.behindFor(now) >= propagationTime }
+func (p *progress) isOverdue(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left, isBehind := p.overdueIn(now)
+	return isBehind && left == 0
+}
+
+// overdueVersion returns the oldest version that other instances reported and
+// that is overdue here, and false if there is none.
+func (p *progress) overdueVersion(now time.Time) (feed.Version, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left, isBehind := p.overdueIn(now)
+	if !isBehind || left > 0 {
+		return 0, false
+	}
+	return p.ahead[0].version, true
+}
 
 // covers reports whether all changes up to a version are known.
 func (p *progress) covers(version feed.Version) bool {
@@ -316,14 +355,30 @@
 		return
 	}
 	p.ahead = append(p.ahead, peerVersion{version, time.Now()})
-	time.AfterFunc(propagationTime, p.interruptIfOverdue)
+	p.watch(propagationTime)
+}
+
+// watch calls interruptIfOverdue after d, unless it is to be called already. It
+// is called with mu held.
+func (p *progress) watch(d time.Duration) {
+	if !p.watched {
+		p.watched = true
+		time.AfterFunc(d, p.interruptIfOverdue)
+	}
 }
 
 // interruptIfOverdue ends a wait that another instance's report has made
 // pointless. A call that is not held goes on: it may be the one that closes the
 // gap.
 func (p *progress) interruptIfOverdue() {
-	if p.isOverdue(time.Now()) {
+	p.mu.Lock()
+	p.watched = false
+	left, isBehind := p.overdueIn(time.Now())
+	if isBehind && left > 0 {
+		p.watch(left)
+	}
+	p.mu.Unlock()
+	if isBehind && left == 0 {
 		p.interruptWait()
 	}
 }
@@ -350,13 +405,13 @@
 // the wait as soon as it is; endWait must follow.
 func (p *progress) beginWait() bool {
 	p.mu.Lock()
-	p.waiting = true
-	p.mu.Unlock()
-	if p.isOverdue(time.Now()) {
-		p.endWait()
-		return false
+	defer p.mu.Unlock()
+	left, isBehind := p.overdueIn(time.Now())
+	p.waiting = !isBehind || left > 0
+	if isBehind && p.waiting {
+		p.watch(left)
 	}
-	return true
+	return p.waiting
 }
 
 func (p *progress) endWait() {
@@ -408,8 +463,8 @@
 		case errors.Is(err, errPollAbandoned):
 			telemetry.Event("feed_kicked", telemetry.F("feed", f.table), telemetry.F("source", src.Name()),
 				telemetry.F("version", f.next), telemetry.F("behind", f.progress.behindFor(now)))
-			if relayed && f.progress.isOverdue(now) {
-				g.relays.recordFailure(now, err)
+			if missed, isOverdue := f.progress.overdueVersion(now); relayed && isOverdue {
+				g.relays.recordLate(now, f.table, missed, heartbeatFrom(src.Name(), g.peers.live(now)))
 			}
 			failures = nextFailures(failures, relayed)
 		case errors.Is(err, platform.ErrHistoryDropped):
@@ -434,6 +489,7 @@
 				g.operatorProgress.interruptCall()
 				g.registryProgress.interruptCall()
 			}
+			g.announceReadiness()
 			if changed {
 				f.progress.pause(g.ctx, g.batchDelay(f.table, relayed))
 			}
@@ -460,7 +516,7 @@
 // failuresAfterSuccess returns the failure count after a call that succeeded. A
 // call that did not bring what others have had for long is treated as failed.
 func (f *follower) failuresAfterSuccess(now time.Time, failures int, relayed bool) int {
-	if failures > 0 && f.progress.isOverdue(now) {
+	if failures > 0 && f.progress.behindFor(now) >= propagationTime {
 		return nextFailures(failures, relayed)
 	}
 	return 0
