gateway: readiness is announced at once at the first start only

Why callers lose is not traced; the guess is that lookups name only the instances that became ready first.

Change: the announcement is left to the first start of the system, when no caller waits and the load on the store that it spares is highest.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -267,11 +267,13 @@
 	})
 }
 
-// announceReadiness sends a heartbeat if this instance has just become ready. The
-// choice of relays depends on which instances are ready: until all know it, they
-// choose different ones, and more instances than one follow the store.
+// announceReadiness sends a heartbeat if this instance has just become ready at
+// the first start of the system. The choice of relays depends on which instances
+// are ready: until all know it, they choose different ones, and more instances
+// than one follow the store. After a restart callers wait, and lookups would send
+// all of them to the instances that became ready first.
 func (g *Gateway) announceReadiness() {
-	if g.ready() && !g.announcedReady.Swap(true) {
+	if g.node.FirstStart && g.ready() && !g.announcedReady.Swap(true) {
 		g.sendHeartbeat()
 	}
 }
