gateway, entry: tests of targets that were never reached, and of more forms

No test said that a request which was never sent is still sent to another target, for each kind of request, beside the new rule for malformed responses; none covered a damaged version, or a malformed part of a streamed response, in run. A streamed body cannot be sent again and gets 503, not run.

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -57,6 +57,7 @@
 var malformedForms = map[string]string{
 	"not HTTP":              "hello\r\n\r\n",
 	"name of the protocol":  "HTTQ/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"version":               "HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	"status":                "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
 	"name of a field":       "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
 	"length":                "HTTP/1.1 200 OK\r\nContent-Length: 02\r\n\r\nok",
@@ -142,3 +143,41 @@
 		}
 	}
 }
+
+// Guards against a request that fails though its upstream was never reached, so
+// that it cannot have run.
+func TestUnreachedUpstreamIsReplaced(t *testing.T) {
+	u := rawUpstream{&atomic.Pointer[string]{}, &atomic.Int32{}}
+	closed := loopback(t)
+	_ = closed.Close()
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, closed.Addr().String(), u.start(t)))
+	for _, request := range [][2]string{{"GET", "/reads/%d"}, {"PUT", "/reads/%d"}, {"POST", "/orders/%d"}} {
+		for n := range 8 {
+			is := is.New(t)
+			u.runs.Store(0)
+			resp, _ := do(t, request[0], i.url(fmt.Sprintf(request[1], n)), strings.NewReader("body"))
+			is.Equal(resp.StatusCode, 200)
+			is.Equal(u.runs.Load(), int32(1))
+		}
+	}
+}
+
+// Guards against a large response that looks complete, or is replaced by another
+// one, after a malformed part.
+func TestMalformedPartOfAStreamIsNotRetried(t *testing.T) {
+	u := rawUpstream{&atomic.Pointer[string]{}, &atomic.Int32{}}
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, u.start(t), u.start(t)))
+	part := fmt.Sprintf("%x\r\n%s\r\n", 2<<20, strings.Repeat("x", 2<<20))
+	for _, end := range []string{"g\r\nok\r\n0\r\n\r\n", "0\r\nX\r\n", "0\r\n\r\nXY"} {
+		is := is.New(t)
+		form := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + part + end
+		u.runs.Store(0)
+		u.next.Store(&form)
+		resp, err := http.Get(i.url("/reads/x"))
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.True(err != nil) // the connection ends before the response
+		_ = resp.Body.Close()
+		is.Equal(u.runs.Load(), int32(1))
+	}
+}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -112,11 +112,8 @@
 		s.startTarget(fmt.Sprintf("i-%d", i), func(conn net.Conn, r *receivedRequest) bool {
 			s.runs.Add(1)
 			text := s.next.Swap(nil)
-			switch {
-			case text == nil && r.line[:4] == "HEAD":
-				return writeResponse(conn, r, 200, "")
-			case text == nil:
-				return respondOK(conn, r)
+			if text == nil {
+				return respondSound(conn, r)
 			}
 			raw := strings.ReplaceAll(*text, "%ID", r.header.Get("X-Request-Id"))
 			_, _ = io.WriteString(conn, strings.ReplaceAll(raw, "%LONG", strings.Repeat("x", 256<<10)))
@@ -129,6 +126,14 @@
 	return s
 }
 
+// respondSound responds to any method; the response to HEAD has no body.
+func respondSound(conn net.Conn, r *receivedRequest) bool {
+	if strings.HasPrefix(r.line, "HEAD ") {
+		return writeResponse(conn, r, 200, "")
+	}
+	return respondOK(conn, r)
+}
+
 // send sends a request whose first response is text. It returns what the caller
 // got and how often targets ran the request.
 func (s *retrySite) send(c retryCase, text string) (resp callerResponse, runs int) {
@@ -140,15 +145,20 @@
 	}
 	s.runs.Store(0)
 	s.next.Store(&text)
+	resp = s.exchange(c)
+	time.Sleep(50 * time.Millisecond)
+	return resp, int(s.runs.Load())
+}
+
+// exchange sends a request on a connection of its own and reads the response.
+func (s *retrySite) exchange(c retryCase) callerResponse {
+	s.t.Helper()
 	conn := s.connect(s.g)
 	conn.send(c.method, c.path, c.body)
 	if c.method == "HEAD" {
-		resp = conn.receiveHead()
-	} else {
-		resp = conn.receive()
+		return conn.receiveHead()
 	}
-	time.Sleep(50 * time.Millisecond)
-	return resp, int(s.runs.Load())
+	return conn.receive()
 }
 
 // receiveHead reads a response that has no body, up to the empty line.
@@ -206,7 +216,7 @@
 }
 
 // Guards against a caller that has to try again though its request may run twice:
-// a target that breaks off, or that was never reached, is replaced by another one.
+// a target that breaks off is replaced by another one.
 func TestBrokenOffResponseIsRetried(t *testing.T) {
 	check := func(is *is.I, s *retrySite, c retryCase, resp callerResponse, runs int) {
 		is.Helper()
@@ -222,6 +232,49 @@
 	checkRetries(t, brokenBodies, true, check)
 }
 
+// Guards against a request that fails though its target was never reached, so that
+// it cannot have run: another target gets it, whatever its kind, unless a part of
+// its body is not held.
+func TestUnreachedTargetIsReplaced(t *testing.T) {
+	for kind, c := range retryCases {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newRetrySite(t)
+			closed, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			is.NoErr(closed.Close())
+			for i := range 4 {
+				s.register(fmt.Sprintf("i-%d", i), closed.Addr().String(), "ready", 2)
+			}
+			s.startTarget("i-9", func(conn net.Conn, r *receivedRequest) bool {
+				s.runs.Add(1)
+				return respondSound(conn, r)
+			})
+			s.waitForTargets(s.g, 5)
+			const notSent = `exchanges_total{service="s",result="not_sent"}`
+			for range 40 {
+				s.runs.Store(0)
+				resp := s.exchange(c)
+				runs := int(s.runs.Load())
+				if s.g.metrics.value(notSent) == 0 {
+					continue
+				}
+				is.NoErr(resp.err)
+				if len(c.body) > maxBufferedBody {
+					is.Equal(resp.status, 503)
+					is.Equal(runs, 0)
+					return
+				}
+				is.Equal(resp.status, 200)
+				is.Equal(runs, 1)
+				return
+			}
+			t.Fatal("no request was sent to an unreachable target")
+		})
+	}
+}
+
 // Guards against a response that is passed on in pieces and looks complete, or is
 // replaced by another one, after a malformed part.
 func TestMalformedPartOfAStreamIsNotRetried(t *testing.T) {
