--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 cd "$root" || exit 2
-exec target/review-second unread-answers "$root" "$here/record.txt"
+exec target/review-second slow-reading-clients "$root" "$here/record.txt"
