--- a/review/second/cluster.go
+++ b/review/second/cluster.go
@@ -22,12 +22,10 @@
 	"pistachioford.example/pistachioford/platform/standin"
 )
 
-// Ports of all instances of a run, and of their stand-ins.
+// Ports of an instance that the settings below name.
 const (
 	portRequests  = 8641
 	portReadiness = 8640
-	portDirectory = 8644
-	portControl   = 8649
 )
 
 const beatInterval = 1500 * time.Millisecond
@@ -280,12 +278,10 @@
 
 // inbound is a request as a target receives it.
 type inbound struct {
-	method, path, id string
-	header           http.Header
-	length           int
-	chunked          bool
-	body             io.Reader
-	conn             net.Conn
+	path, id string
+	length   int
+	body     io.Reader
+	conn     net.Conn
 }
 
 // target is a stand-in server of a service. serve answers one request and returns
@@ -354,8 +350,8 @@
 			return
 		}
 		in := &inbound{
-			method: req.Method, path: req.RequestURI, id: req.Header.Get("X-Request-Id"), header: req.Header,
-			length: int(req.ContentLength), chunked: len(req.TransferEncoding) > 0, body: req.Body, conn: conn,
+			path: req.RequestURI, id: req.Header.Get("X-Request-Id"),
+			length: int(req.ContentLength), body: req.Body, conn: conn,
 		}
 		if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != t.id {
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", in.id, t.id)
