--- a/review/second/front.go
+++ b/review/second/front.go
@@ -3,8 +3,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -106,7 +108,7 @@
 				answered += got
 				lost := 0
 				for _, id := range behind {
-					if soundly[id] {
+					if soundly[id] && !errors.Is(err, os.ErrDeadlineExceeded) {
 						lost++
 						rec.add("client: %s has no answer (%v), though a sound target has answered", id, err)
 					}
