callers: a connection ends once its caller has received the responses

Cause: "written" was taken for "received". 0.3 s after the last response was written the socket was closed, while earlier responses were still in its send queue. The next request of a caller that has not yet read the last response meets a closed socket; the system resets the connection and drops the queue.

Change: the new package linger sends the end of the stream behind the responses, drops what arrives, and closes the socket once the caller has closed, has acknowledged everything (SIOCOUTQ) and falls silent for 1 s, or has stalled for 5 s. Where a reset is meant (a response that breaks off, a panic), it follows the receipt of what is before it. The number of such connections and their bytes are bounded, by what callers lose; a lack of descriptors on accept gives one up. New metrics: connections_closed_total, connections_closing, connections_closing_unreceived_bytes.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 const (
@@ -39,10 +41,6 @@
 	// writeTimeout limits the writing of a response to a caller that does not read
 	// it.
 	writeTimeout = 5 * time.Second
-	// lingerTimeout is how long the rest of a request is read and dropped after
-	// the last response. Closing a connection with unread bytes would reset it
-	// before the caller has read the response.
-	lingerTimeout = 300 * time.Millisecond
 	// peerPollInterval is how often the state of the connection is checked while
 	// nothing is read from it. A caller's disconnect must be noticed within 0.5 s.
 	peerPollInterval = 100 * time.Millisecond
@@ -73,8 +71,8 @@
 }
 
 // Handler decides on requests and serves them. It is safe for concurrent use.
-// Limits, Leaving, Concurrency, Charge, Discharge, Begun and Ended must not block,
-// panic or call methods of a Call.
+// Limits, Leaving, Concurrency, Charge, Discharge, Begun, Closed and Ended must not
+// block, panic or call methods of a Call.
 type Handler interface {
 	// Limits returns the limits in force.
 	Limits() Limits
@@ -102,6 +100,10 @@
 	// Begun records that a request was begun while a number of requests of its
 	// connection, including itself, were outstanding.
 	Begun(outstanding int)
+	// Closed records how the end of a connection was completed, and how many bytes
+	// of its responses the caller has not received. It is not called if the caller
+	// had disconnected before.
+	Closed(outcome linger.Outcome, unreceived int)
 	// Ended records why a connection ended.
 	Ended(reason Reason)
 }
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // conn is a connection of a caller. One goroutine, the reader, reads from it for
@@ -55,6 +57,8 @@
 	// them.
 	readEnded, aborted bool
 	reason             Reason
+	// abortReason is why the connection was aborted.
+	abortReason Reason
 	// waiting is set while the reader waits for the first byte of a request,
 	// pending from then on until the request is in the queue, sleeping while the
 	// reader is in waitUntil.
@@ -171,19 +175,43 @@
 		return call
 	}
 	c.awaitReplies()
-	c.lingerUnlessAborted()
 	return nil
 }
 
-// end releases a connection that has ended.
+// end closes and releases a connection on which nothing further is written.
 func (c *conn) end() {
 	c.waitUntil(func() bool { return c.running == 0 && c.writer == nil })
 	c.releaseCalls()
+	c.close()
 	c.handler.Ended(c.reason)
-	_ = c.net.Close()
 	c.set.remove(c)
 }
 
+// close closes the connection once the caller has received what was written, has
+// left, or does not read any more. After a reply that was cut short the connection
+// is reset instead, so that the reply does not look complete.
+func (c *conn) close() {
+	c.mu.Lock()
+	aborted, abortReason := c.aborted, c.abortReason
+	c.mu.Unlock()
+	discard := func() error {
+		_, err := c.br.Discard(max(c.br.Buffered(), 1))
+		return err
+	}
+	switch {
+	case !aborted:
+		c.handler.Closed(c.set.ending.Close(c.net, discard))
+	case abortReason == ReasonCutShort || abortReason == ReasonPanic:
+		c.handler.Closed(c.set.ending.Reset(c.net, discard))
+	case abortReason == ReasonWriteFailed:
+		unreceived := linger.Unreceived(c.net)
+		linger.Abandon(c.net)
+		c.handler.Closed(linger.Stalled, unreceived)
+	default:
+		_ = c.net.Close()
+	}
+}
+
 // awaitReplies waits until all replies were written, and notices meanwhile when
 // the caller disconnects. It leaves further requests unread.
 func (c *conn) awaitReplies() {
@@ -233,26 +261,6 @@
 	return c.readEnded
 }
 
-// lingerUnlessAborted closes the write side of the connection and drops what still
-// arrives, until the caller closes or lingerTimeout has passed.
-func (c *conn) lingerUnlessAborted() {
-	c.mu.Lock()
-	aborted := c.aborted
-	c.mu.Unlock()
-	if aborted {
-		return
-	}
-	if tcpConn, ok := c.net.(*net.TCPConn); ok {
-		_ = tcpConn.CloseWrite()
-	}
-	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
-	for {
-		if _, err := c.br.Discard(max(c.br.Buffered(), 1)); err != nil {
-			return
-		}
-	}
-}
-
 // waitUntil blocks the reader until a condition holds, which is called with mu
 // held, or the connection is aborted. It notices meanwhile when the caller
 // disconnects, even behind bytes that are not read.
@@ -322,7 +330,7 @@
 }
 
 func (c *conn) endReadingLocked(reason Reason) {
-	c.readEnded, c.pending = true, false
+	c.readEnded, c.pending, c.waiting = true, false, false
 	if c.reason == "" {
 		c.reason = reason
 	}
@@ -339,7 +347,7 @@
 	if c.aborted {
 		return
 	}
-	c.aborted = true
+	c.aborted, c.abortReason = true, reason
 	c.endReadingLocked(reason)
 	for _, call := range c.queue {
 		call.cancelLocked()
--- a/callers/harness_test.go
+++ b/callers/harness_test.go
@@ -16,6 +16,8 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // testHandler serves requests by a script. GET and HEAD requests may run beside
@@ -26,7 +28,9 @@
 	concurrency atomic.Int64
 	// overBudget makes each Charge exceed the budget.
 	overBudget atomic.Bool
-	script     func(r *testRequest, call *Call) *testReply
+	// idleTimeout replaces that of limits, if it is set.
+	idleTimeout atomic.Int64
+	script      func(r *testRequest, call *Call) *testReply
 	// refuse refuses requests by their header, if it is set.
 	refuse func(r *testRequest) *testReply
 
@@ -38,6 +42,7 @@
 	charged, open              int
 	violations                 []string
 	ends                       []Reason
+	outcomes                   []linger.Outcome
 }
 
 func newTestHandler(script func(r *testRequest, call *Call) *testReply) *testHandler {
@@ -52,7 +57,14 @@
 	f()
 }
 
-func (h *testHandler) Limits() Limits   { return h.limits }
+func (h *testHandler) Limits() Limits {
+	limits := h.limits
+	if changed := h.idleTimeout.Load(); changed > 0 {
+		limits.IdleTimeout = time.Duration(changed)
+	}
+	return limits
+}
+
 func (h *testHandler) Leaving() bool    { return h.leaving.Load() }
 func (h *testHandler) Concurrency() int { return int(h.concurrency.Load()) }
 func (h *testHandler) Begun(int)        {}
@@ -86,6 +98,9 @@
 
 func (h *testHandler) Discharge(n int)     { h.locked(func() { h.charged -= n }) }
 func (h *testHandler) Ended(reason Reason) { h.locked(func() { h.ends = append(h.ends, reason) }) }
+func (h *testHandler) Closed(outcome linger.Outcome, _ int) {
+	h.locked(func() { h.outcomes = append(h.outcomes, outcome) })
+}
 func (h *testHandler) Guard(f func()) bool { return panics.Try(f) == nil }
 
 type testRequest struct {
@@ -222,17 +237,24 @@
 	h    *testHandler
 	set  *Set
 	conn *net.TCPConn
-	br   *bufio.Reader
+	// far is the side that the handler serves.
+	far *net.TCPConn
+	br  *bufio.Reader
 }
 
 func connect(t testing.TB, h *testHandler) *testCaller {
+	t.Helper()
+	return connectWith(t, h, &net.Dialer{})
+}
+
+func connectWith(t testing.TB, h *testHandler, dialer *net.Dialer) *testCaller {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	near, err := net.Dial("tcp4", listener.Addr().String())
+	near, err := dialer.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -240,10 +262,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	set := NewSet(h)
+	set := NewSet(h, linger.Limits{})
 	set.Serve(far)
 	t.Cleanup(func() { _ = near.Close() })
-	c := &testCaller{t: t, h: h, set: set, conn: near.(*net.TCPConn), br: bufio.NewReader(near)}
+	c := &testCaller{t: t, h: h, set: set, conn: near.(*net.TCPConn), far: far.(*net.TCPConn), br: bufio.NewReader(near)}
 	if tt, ok := t.(*testing.T); ok {
 		c.is = is.New(tt)
 	}
@@ -287,7 +309,15 @@
 }
 
 func (c *testCaller) receiveFor(method string) (received, error) {
-	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return c.receiveUntil(method, time.Now().Add(10*time.Second))
+}
+
+func (c *testCaller) receiveWithin(timeout time.Duration) (received, error) {
+	return c.receiveUntil("GET", time.Now().Add(timeout))
+}
+
+func (c *testCaller) receiveUntil(method string, deadline time.Time) (received, error) {
+	_ = c.conn.SetReadDeadline(deadline)
 	response, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return received{}, err
--- a/callers/set.go
+++ b/callers/set.go
@@ -5,11 +5,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // Set is the set of callers' open connections.
 type Set struct {
 	handler Handler
+	// ending are the connections whose callers still receive what was written.
+	ending *linger.Group
 	// waiting is the number of bytes of replies that wait on all connections.
 	waiting atomic.Int64
 
@@ -17,9 +21,10 @@
 	open map[*conn]struct{}
 }
 
-// NewSet returns an empty set whose connections are served by a handler.
-func NewSet(h Handler) *Set {
-	return &Set{handler: h, open: map[*conn]struct{}{}}
+// NewSet returns an empty set whose connections are served by a handler. ending
+// bounds the connections that wait for their callers to receive the last responses.
+func NewSet(h Handler, ending linger.Limits) *Set {
+	return &Set{handler: h, ending: linger.NewGroup(ending), open: map[*conn]struct{}{}}
 }
 
 // Serve serves a connection in the background until it ends.
@@ -49,6 +54,14 @@
 	return open, busy
 }
 
+// Ending returns the number of connections on which nothing further is written, and
+// the bytes that their callers have not received.
+func (s *Set) Ending() (connections, unreceived int) { return s.ending.Count() }
+
+// Reclaim gives up the connection whose caller loses least by that, among those on
+// which nothing further is written. It returns false if there is none.
+func (s *Set) Reclaim() bool { return s.ending.Reclaim() }
+
 // WaitingBytes returns the bytes of replies that wait for those before them.
 func (s *Set) WaitingBytes() int64 { return s.waiting.Load() }
 
--- a/callers/write.go
+++ b/callers/write.go
@@ -8,9 +8,7 @@
 	"time"
 )
 
-// write writes a reply and ends it. After an error nothing further may be
-// written; if a part of a streamed body was written, the connection is reset, so
-// that the body cannot look complete.
+// write writes a reply and ends it. After an error nothing further may be written.
 func (c *conn) write(call *Call, closing bool) error {
 	reply := call.reply
 	rest, chunked := reply.Rest()
@@ -22,10 +20,6 @@
 	reply.End(err)
 	if err != nil && rest != nil {
 		c.abort(reasonOfWriteError(err))
-		if tcpConn, ok := c.net.(*net.TCPConn); ok {
-			_ = tcpConn.SetLinger(0)
-		}
-		_ = c.net.Close()
 	}
 	return err
 }
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -10,7 +10,9 @@
 	"github.com/valyala/fasthttp"
 
 	"pistachioford.example/pistachioford/callers"
+	"pistachioford.example/pistachioford/linger"
 	"pistachioford.example/pistachioford/platform"
+	"pistachioford.example/pistachioford/telemetry"
 )
 
 const (
@@ -38,6 +40,28 @@
 	return maxConcurrency - int(overload*(maxConcurrency-minConcurrency)+0.5)
 }
 
+const (
+	// endingDivisor is the part of the descriptors that connections may take on
+	// which nothing further is written, and endingMemoryDivisor the part of the
+	// memory that their unread responses may take.
+	endingDivisor       = 8
+	endingMemoryDivisor = 32
+	// defaultEnding applies if the limit on descriptors is not known, and
+	// minEndingBytes to small machines.
+	defaultEnding  = 512
+	minEndingBytes = 4 << 20
+)
+
+// endingLimits bounds the connections whose callers still receive the last
+// responses.
+func endingLimits(maxDescriptors, memoryMB int) linger.Limits {
+	limits := linger.Limits{Connections: defaultEnding, Bytes: max(memoryMB<<20/endingMemoryDivisor, minEndingBytes)}
+	if maxDescriptors > 0 {
+		limits.Connections = max(maxDescriptors/endingDivisor, 1)
+	}
+	return limits
+}
+
 // firstRequestWait is how long a drain leaves a new connection open for its first
 // request.
 const firstRequestWait = callers.FirstRequestWait
@@ -101,6 +125,13 @@
 
 func (h callerHandler) Begun(outstanding int) { h.g.connMetrics.recordOutstanding(outstanding) }
 
+func (h callerHandler) Closed(outcome linger.Outcome, unreceived int) {
+	h.g.connMetrics.countOutcome(outcome)
+	if unreceived > 0 {
+		telemetry.Routine("responses_unreceived", telemetry.F("outcome", outcome), telemetry.F("unreceived_bytes", unreceived))
+	}
+}
+
 func (h callerHandler) Ended(reason callers.Reason) { h.g.connMetrics.countEnd(reason) }
 
 // callerRequest is a request of a caller's connection.
--- a/gateway/conn_metrics.go
+++ b/gateway/conn_metrics.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"pistachioford.example/pistachioford/callers"
+	"pistachioford.example/pistachioford/linger"
 )
 
 // maxFirstSendUS is the upper limit of the histogram of times to the first send.
@@ -27,12 +28,14 @@
 	// first exchange with a target.
 	firstSend *hdrhistogram.Histogram
 	ends      map[callers.Reason]uint64
+	outcomes  map[linger.Outcome]uint64
 }
 
 func newConnMetrics() *connMetrics {
 	return &connMetrics{
 		firstSend: hdrhistogram.New(1, maxFirstSendUS, latencyDigits),
 		ends:      map[callers.Reason]uint64{},
+		outcomes:  map[linger.Outcome]uint64{},
 	}
 }
 
@@ -52,6 +55,12 @@
 	m.ends[reason]++
 }
 
+func (m *connMetrics) countOutcome(outcome linger.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outcomes[outcome]++
+}
+
 // outstandingHistogram returns the histogram of outstanding requests.
 func (m *connMetrics) outstandingHistogram() *hdrhistogram.Histogram {
 	h := hdrhistogram.New(1, callers.MaxOutstanding, latencyDigits)
@@ -61,11 +70,16 @@
 	return h
 }
 
-// lines returns the lines of the metrics page on callers' connections.
-func (m *connMetrics) lines(waitingBytes int64) []string {
+// lines returns the lines of the metrics page on the connections of a set.
+func (m *connMetrics) lines(set *callers.Set) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lines := []string{fmt.Sprintf(`connection_waiting_reply_bytes %d`, waitingBytes)}
+	ending, unreceived := set.Ending()
+	lines := []string{
+		fmt.Sprintf(`connection_waiting_reply_bytes %d`, set.WaitingBytes()),
+		fmt.Sprintf(`connections_closing %d`, ending),
+		fmt.Sprintf(`connections_closing_unreceived_bytes %d`, unreceived),
+	}
 	for name, h := range map[string]*hdrhistogram.Histogram{
 		"connection_outstanding": m.outstandingHistogram(), "first_send_us": m.firstSend,
 	} {
@@ -77,5 +91,8 @@
 	for reason, n := range m.ends {
 		lines = append(lines, fmt.Sprintf(`connections_ended_total{reason=%q} %d`, reason, n))
 	}
+	for _, outcome := range linger.Outcomes {
+		lines = append(lines, fmt.Sprintf(`connections_closed_total{outcome=%q} %d`, outcome, m.outcomes[outcome]))
+	}
 	return lines
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -99,7 +100,7 @@
 		failed:      make(chan error, 1), acceptEnded: make(chan struct{}),
 		engine: steer.NewEngine(engineConfig), engineConfig: engineConfig, delays: map[*steer.Request]*delay{},
 	}
-	g.callers = callers.NewSet(callerHandler{g})
+	g.callers = callers.NewSet(callerHandler{g}, endingLimits(node.MaxDescriptors, node.MemoryMB))
 	g.concurrency.Store(maxConcurrency)
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.peers = newPeers(presence.Heartbeat{
@@ -179,9 +180,11 @@
 		case errors.Is(err, net.ErrClosed) || isTimeout(err):
 			return
 		case err != nil:
-			// The process may be out of file descriptors; connections that
-			// close free some.
 			telemetry.Failure("accept", err)
+			if isOutOfDescriptors(err) && g.callers.Reclaim() {
+				continue
+			}
+			// Connections that close free descriptors.
 			pause(g.ctx, acceptRetryDelay)
 		default:
 			g.callers.Serve(conn)
@@ -189,6 +192,10 @@
 	}
 }
 
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // stopAccepting closes the listener for requests. Connections that callers have
 // begun to open before are served, also those that were not accepted yet: closing
 // the listener would reset them.
@@ -310,7 +317,9 @@
 		time.Sleep(drainPollInterval)
 	}
 	open, busy := g.callers.Count()
-	telemetry.Event("left", telemetry.F("instance", g.node.Name), telemetry.F("open", open), telemetry.F("busy", busy))
+	_, unreceived := g.callers.Ending()
+	telemetry.Event("left", telemetry.F("instance", g.node.Name), telemetry.F("open", open), telemetry.F("busy", busy),
+		telemetry.F("unreceived_bytes", unreceived))
 }
 
 // Cleanup stops the background goroutines and closes the listeners. It does not
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -104,7 +104,7 @@
 }
 
 func (g *Gateway) handleMetrics(ctx *fasthttp.RequestCtx) {
-	further := append(g.accountMetrics(time.Now()), g.connMetrics.lines(g.callers.WaitingBytes())...)
+	further := append(g.accountMetrics(time.Now()), g.connMetrics.lines(g.callers)...)
 	further = append(further, g.admissions.lines()...)
 	further = append(further, g.overloadLines(time.Now())...)
 	ctx.SetBodyString(g.metrics.render(further))
