callers: a write ends by lack of progress, not by its duration

What callers saw: a caller that reads 16 KiB/s was cut off 5 s after the start of a response of 128 KiB that was held in full, and lost what was behind it.

Cause: the deadline of a write counted from its start.

Change: a write goes on while its caller takes 16 KiB in 5 s of what the system holds for it, for held and streamed responses alike. It is checked 1 s after the start of a write that has not ended.

Evidence: TestSteadyCallerGetsALargeResponse (held) failed before with "unexpected EOF" after 5.7 s and passes now; the streamed variant passed before and after. TestCallerThatDoesNotReadIsEnded and TestSlowCallersTakeBoundedMemory, whose callers read 2 KiB/s or nothing, pass as before (one run each).

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -38,9 +38,9 @@
 	// maxDiscardedBody is the largest body that is read and dropped after a
 	// refusal, so that the connection stays open.
 	maxDiscardedBody = 16 << 10
-	// writeTimeout limits the writing of a response to a caller that does not read
-	// it.
-	writeTimeout = 5 * time.Second
+	// writeCheckInterval is how often a write that does not end checks whether the
+	// caller still receives what was written before.
+	writeCheckInterval = time.Second
 	// peerPollInterval is how often the state of the connection is checked while
 	// nothing is read from it. A caller's disconnect must be noticed within 0.5 s.
 	peerPollInterval = 100 * time.Millisecond
--- a/callers/delivery_test.go
+++ b/callers/delivery_test.go
@@ -1,7 +1,9 @@
 package callers
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -133,6 +135,47 @@
 	c.is.Equal(h.ends, []Reason{ReasonPanic})
 }
 
+// Guards against a limit on the time for a whole response: a caller that reads
+// steadily gets it, however long that takes.
+func TestSteadyCallerGetsALargeResponse(t *testing.T) {
+	const size = 128 << 10
+	for _, streamed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("streamed=%t", streamed), func(t *testing.T) {
+			t.Parallel()
+			h := newTestHandler(func(*testRequest, *Call) *testReply {
+				if streamed {
+					return &testReply{rest: strings.NewReader(strings.Repeat("x", size)), restLength: size}
+				}
+				return &testReply{body: strings.Repeat("x", size)}
+			})
+			c := connectSlow(t, h)
+			c.shrinkSendBuffer(8 << 10)
+			c.send(gets("a"))
+			c.br = bufio.NewReaderSize(steadyReader{c.conn}, 1024)
+			r, err := c.receiveWithin(30 * time.Second)
+			c.is.NoErr(err)
+			c.is.Equal(len(r.body), size)
+		})
+	}
+}
+
+// shrinkSendBuffer makes the send buffer as small as it is on links.
+func (c *testCaller) shrinkSendBuffer(size int) {
+	c.t.Helper()
+	if err := c.far.SetWriteBuffer(size); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// steadyReader reads 16 KiB/s.
+type steadyReader struct{ conn net.Conn }
+
+func (r steadyReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p[:min(len(p), 1024)])
+	time.Sleep(time.Duration(n) * time.Second / (16 << 10))
+	return n, err
+}
+
 // Guards against a caller that reads nothing and keeps its connection after the
 // last response.
 func TestCallerThatReadsNothingIsGivenUp(t *testing.T) {
--- a/callers/read.go
+++ b/callers/read.go
@@ -227,9 +227,7 @@
 		began = time.Now()
 	}
 	if expectsContinue {
-		// The deadline of the last response may have passed.
-		_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			call.request.Drop()
 			c.abort(ReasonWriteFailed)
 			return false
--- a/callers/write.go
+++ b/callers/write.go
@@ -6,6 +6,8 @@
 	"net/http/httputil"
 	"sync"
 	"time"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // write writes a reply and ends it. After an error nothing further may be written.
@@ -31,7 +33,6 @@
 // writeHeld writes the head of a reply and, unless it is chunked, the part of the
 // body that is held in memory.
 func (c *conn) writeHeld(call *Call, closing, chunked bool) error {
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	buffer := writeBuffers.Get().(*[]byte)
 	head := call.reply.AppendHead((*buffer)[:0], closing)
 	defer func() {
@@ -47,24 +48,62 @@
 		}
 		body = nil
 	}
-	var err error
 	if len(head)+len(body) <= maxRetainedBuffer {
 		head = append(head, body...)
-		_, err = c.net.Write(head)
-	} else {
-		buffers := net.Buffers{head, body}
-		_, err = buffers.WriteTo(c.net)
+		return c.send(head)
 	}
-	if err != nil {
-		return ErrWrite
+	began := time.Now()
+	_ = c.net.SetWriteDeadline(began.Add(writeCheckInterval))
+	buffers := net.Buffers{head, body}
+	if _, err := buffers.WriteTo(c.net); err != nil {
+		return c.sendSlowly(buffers, began, err)
 	}
 	return nil
 }
 
+// send writes to the caller, for as long as the caller takes what was written.
+func (c *conn) send(p []byte) error {
+	began := time.Now()
+	_ = c.net.SetWriteDeadline(began.Add(writeCheckInterval))
+	if n, err := c.net.Write(p); err != nil {
+		return c.sendSlowly(net.Buffers{p[n:]}, began, err)
+	}
+	return nil
+}
+
+// sendSlowly goes on with a write that began earlier and has ended with an error. A
+// caller is cut off if it takes too little of what the system holds for it; what it
+// takes does not always make room for a further write.
+func (c *conn) sendSlowly(buffers net.Buffers, began time.Time, err error) error {
+	var progress linger.Progress
+	progress.StartAt(began)
+	for isTimeout(err) && !c.isAborted() {
+		left := linger.Unreceived(c.net)
+		for _, buffer := range buffers {
+			left += len(buffer)
+		}
+		now := time.Now()
+		if progress.Stalled(now, left) {
+			break
+		}
+		_ = c.net.SetWriteDeadline(now.Add(writeCheckInterval))
+		if _, err = buffers.WriteTo(c.net); err == nil {
+			return nil
+		}
+	}
+	return ErrWrite
+}
+
+func (c *conn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 // writeRest passes on the rest of a body as it arrives. Of a chunked one, no part
 // was written yet.
 func (c *conn) writeRest(reply Reply, rest io.Reader, chunked bool) error {
-	var w io.Writer = callerWriter{c.net}
+	var w io.Writer = callerWriter{c}
 	if !chunked {
 		reply.ReleaseBody()
 		return copyPieces(w, rest)
@@ -84,16 +123,14 @@
 	return err
 }
 
-// callerWriter writes to a caller, who must read within writeTimeout.
-type callerWriter struct{ net net.Conn }
+// callerWriter writes to a caller.
+type callerWriter struct{ conn *conn }
 
 func (w callerWriter) Write(p []byte) (int, error) {
-	_ = w.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := w.net.Write(p)
-	if err != nil {
-		return n, ErrWrite
+	if err := w.conn.send(p); err != nil {
+		return 0, err
 	}
-	return n, nil
+	return len(p), nil
 }
 
 // pieceBytes is the size of the pieces in which a response is passed on.
