callers: the idle timeout counts from the receipt of a response

What callers saw: a caller that reads a response for 1 s and sends its next request after 4/5 of the idle timeout, by its own count, found the connection closed.

Cause: a connection counted as idle from the writing of its last response on.

Change: when the idle timeout has passed since then, the system is asked how much the caller has not acknowledged, and when data was last sent. While the caller receives, the connection is not idle; a changed timeout is applied in the same way.

Evidence: TestIdleTimeoutCountsFromTheReceipt failed before ("unexpected EOF") and passes now. In TestEndOfAConnectionWaitsForASlowCaller a request that arrives while the caller still receives is now answered; before this change it was dropped without a loss of what was before it.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -66,8 +66,11 @@
 	// used is set with the first request.
 	used bool
 	// idleSince is when the last reply was written, or when the wait for the
-	// first request began. draining is set once a drain has ended a wait.
+	// first request began. Once the idle timeout has passed, it is when the caller
+	// had received that reply, and delivery whether it still does. draining is set
+	// once a drain has ended a wait.
 	idleSince time.Time
+	delivery  linger.Progress
 	draining  bool
 }
 
--- a/callers/read.go
+++ b/callers/read.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // awaitRequest waits until there is room for a further request and its first byte
@@ -90,7 +92,7 @@
 
 // beginIdle applies the idle timeout from now on. It is called with mu held.
 func (c *conn) beginIdle() {
-	c.idleSince = time.Now()
+	c.idleSince, c.delivery = time.Now(), linger.Progress{}
 	if c.waiting {
 		_ = c.net.SetReadDeadline(c.idleSince.Add(c.handler.Limits().IdleTimeout))
 	}
@@ -109,18 +111,42 @@
 		// The deadline of an earlier read or wait has passed.
 		return c.net.SetReadDeadline(time.Time{}) == nil
 	}
-	deadline := c.idleSince.Add(c.handler.Limits().IdleTimeout)
-	if c.draining || !time.Now().Before(deadline) {
-		reason := ReasonIdle
-		if c.draining {
-			reason = ReasonLeaving
-		}
-		c.endReadingLocked(reason)
+	if c.draining {
+		c.endReadingLocked(ReasonLeaving)
+		return false
+	}
+	now, timeout := time.Now(), c.handler.Limits().IdleTimeout
+	deadline := c.idleSince.Add(timeout)
+	if !now.Before(deadline) {
+		deadline = c.idleDeadline(now, timeout)
+	}
+	if !now.Before(deadline) {
+		c.endReadingLocked(ReasonIdle)
 		return false
 	}
 	return c.net.SetReadDeadline(deadline) == nil
 }
 
+// idleDeadline returns when the idle timeout ends for a caller that counts it from
+// the receipt of the last response. It is called with mu held.
+func (c *conn) idleDeadline(now time.Time, timeout time.Duration) time.Time {
+	if unreceived := linger.Unreceived(c.net); unreceived > 0 {
+		if c.delivery.Stalled(now, unreceived) {
+			return now
+		}
+		c.idleSince = now
+		return now.Add(min(max(timeout, peerPollInterval), linger.StallTimeout))
+	}
+	received := linger.LastSent(c.net, now)
+	if latest := c.idleSince.Add(timeout); received.After(latest) {
+		received = latest
+	}
+	if received.Before(c.idleSince) {
+		received = c.idleSince
+	}
+	return received.Add(timeout)
+}
+
 // beginRead records that a request has begun to arrive.
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
--- a/linger/socket.go
+++ b/linger/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,6 +19,20 @@
 	return left
 }
 
+// LastSent returns when data was last sent on a TCP connection, or the zero time if
+// the system does not tell. A peer that has received everything did so a round trip
+// later.
+func LastSent(conn net.Conn, now time.Time) (at time.Time) {
+	control(conn, func(fd int) {
+		// Systems that do not keep the time report 0.
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.Last_data_sent > 0 {
+			at = now.Add(-time.Duration(info.Last_data_sent) * time.Millisecond)
+		}
+	})
+	return at
+}
+
 func control(conn net.Conn, f func(fd int)) {
 	tcpConn, ok := conn.(*net.TCPConn)
 	if !ok {
