entry: a shutdown waits for callers that still receive responses

The HTTP server closes a connection when its last response was written, and the shutdown ends with the last connection.

Change: Limit closes connections through linger, in the background. They count towards the limit until their callers have received everything; a new connection beyond the limit takes the place of the one that loses least. Shutdown waits for them.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -1,25 +1,42 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"pistachioford.example/pistachioford/linger"
 	"pistachioford.example/pistachioford/telemetry"
 )
 
 // Limit returns a listener that closes connections beyond the limit as soon as
 // it has accepted them. No request is read from them, so none can run.
+//
+// A connection that is closed stays open until its caller has received what was
+// written. Until then it counts towards the limit.
 func Limit(listener net.Listener, connections int) net.Listener {
-	return &limitedListener{Listener: listener, limit: int64(connections)}
+	ending := linger.NewGroup(linger.Limits{Connections: max(connections/endingDivisor, 1)})
+	return &limitedListener{Listener: listener, limit: int64(connections), ending: ending}
 }
 
+// endingDivisor is the part of the connections that may be closed and still wait
+// for their callers to receive the last responses.
+const endingDivisor = 8
+
 type limitedListener struct {
 	net.Listener
 	limit     int64
 	openConns atomic.Int64
+	ending    *linger.Group
+}
+
+// awaitEnding waits until the callers of all closed connections have received what
+// was written, or ctx is done.
+func (l *limitedListener) awaitEnding(ctx context.Context) error {
+	return l.ending.Wait(ctx)
 }
 
 // SyscallConn implements syscall.Conn.
@@ -38,7 +55,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.openConns.Add(1) <= l.limit {
+		if l.openConns.Add(1) <= l.limit || l.ending.Reclaim() {
 			return &limitedConn{Conn: conn, listener: l}, nil
 		}
 		l.openConns.Add(-1)
@@ -53,6 +70,7 @@
 	net.Conn
 	listener  *limitedListener
 	closeOnce sync.Once
+	closed    atomic.Bool
 
 	mu       sync.Mutex
 	deadline time.Time
@@ -77,10 +95,22 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Read implements net.Conn. What arrives after Close is dropped.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn. It does not wait for the caller.
 func (c *limitedConn) Close() error {
-	c.closeOnce.Do(func() { c.listener.openConns.Add(-1) })
-	return c.Conn.Close()
+	c.closeOnce.Do(func() {
+		c.closed.Store(true)
+		c.listener.ending.CloseInBackground(c.Conn, func() { c.listener.openConns.Add(-1) })
+	})
+	return nil
 }
 
 // NetConn returns the wrapped connection, for access to its file descriptor.
--- a/entry/server.go
+++ b/entry/server.go
@@ -54,10 +54,19 @@
 func (s *Server) Serve() error { return s.http.Serve(listeners.Persistent(s.listener)) }
 
 // Shutdown closes the listener and idle connections, and waits for all requests
-// in flight, including uploads that have only partly arrived.
+// in flight, including uploads that have only partly arrived, and for callers that
+// have not received their responses yet.
 func (s *Server) Shutdown(ctx context.Context) error {
 	listeners.FinishHandshakes(ctx, s.listener)
-	return s.http.ShutdownWithContext(ctx)
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return err
+	}
+	if limited, ok := s.listener.(*limitedListener); ok {
+		return limited.awaitEnding(ctx)
+	}
+	// Behind TLS are other instances, which send nothing before they have received
+	// the response: the system delivers it after the process has ended.
+	return nil
 }
 
 // CallerHandler passes lookups to lookup and all other requests to proxy.
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -5,9 +5,11 @@
 package linger
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -61,6 +63,9 @@
 	members map[*member]struct{}
 	// left is the sum of the members' bytes.
 	left int
+
+	// background counts the connections of CloseInBackground.
+	background atomic.Int64
 }
 
 // member is a connection that is ending. It is guarded by the group's mu.
@@ -230,6 +235,36 @@
 	return m.progressAt.Before(other.progressAt)
 }
 
+// CloseInBackground is Close for a connection that another goroutine may still wait
+// to read from. It calls closed at the end.
+func (g *Group) CloseInBackground(conn net.Conn, closed func()) {
+	g.background.Add(1)
+	go func() {
+		defer g.background.Add(-1)
+		defer closed()
+		var dropped [1 << 10]byte
+		g.Close(conn, func() error {
+			_, err := conn.Read(dropped[:])
+			return err
+		})
+	}()
+}
+
+// Wait waits until the connections that CloseInBackground closes have ended, or ctx
+// is done.
+func (g *Group) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(minPollInterval)
+	defer ticker.Stop()
+	for g.background.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // Count returns the number of connections that are ending, and the bytes that
 // their peers have not received.
 func (g *Group) Count() (connections, left int) {
