gateway: an upload outlives a target that pauses reading

Cause: TCP_USER_TIMEOUT of 1.5 s, which Linux also applies while the window of the peer is closed and each probe of it is acknowledged (error "connection timed out", cause unacknowledged).

Change: an upload sets TCP_USER_TIMEOUT to the time that is left, and its connection is checked every 250 ms: it breaks if sent data or a probe is not acknowledged and nothing is taken for 1.5 s. The limit is restored before the connection is used again.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -133,7 +133,7 @@
 	giveBack := func(complete bool) {
 		bound := x.unbind()
 		idleTimeout := keepAliveTimeout(resp)
-		if bound && complete && sentAll && !resp.unframed && !resp.header.ConnectionClose() && conn.br.Buffered() == 0 && idleTimeout > 0 {
+		if bound && complete && sentAll && !resp.unframed && !resp.header.ConnectionClose() && conn.br.Buffered() == 0 && idleTimeout > 0 && conn.endSlowReading() {
 			p.put(time.Now(), s.Target, conn, idleTimeout)
 		} else {
 			closeQuietly(conn)
@@ -232,6 +232,7 @@
 // upload sends a large body while it waits for the response. A response before
 // the end of the body ends the upload and closes the connection.
 func (x *exchange) upload(conn *targetConn, req *outboundRequest, head []byte, held *heldBody) (*response, bool, error) {
+	defer conn.allowSlowReading(req.deadline)()
 	uploadDone := make(chan error, 1)
 	go func() {
 		var err error
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -24,7 +24,8 @@
 	// the target starts to count before its response arrives here.
 	keepAliveMargin = time.Second
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the
-	// connection breaks.
+	// connection breaks. The system also breaks a connection whose target does not
+	// open its window for so long, so that uploads are watched in another way.
 	tcpUserTimeout = 1500 * time.Millisecond
 	// dialTimeout limits the opening of a connection to a few round trips to
 	// the farthest region. A longer wait would use up the caller's time.
@@ -50,6 +51,8 @@
 	// expiresAt is when the connection is closed if it stays idle.
 	expiresAt time.Time
 	raw       syscall.RawConn
+	// longUserTimeout is set while TCP_USER_TIMEOUT is that of an upload.
+	longUserTimeout bool
 }
 
 // pool holds the idle connections to one target.
@@ -188,9 +191,15 @@
 }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, tcpUserTimeout)
+}
+
+// setUserTimeout sets how long data may stay unacknowledged, or the window of the
+// target closed, before a connection breaks.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
