callers: no request runs behind a response that may end the connection

Cause: a response of more than 128 KiB is passed on before its end is known. When it breaks off, the connection must end, but requests behind it had run.

Change: a large response is passed on only if no other request of its connection was begun, and nothing is begun until it was written. Otherwise it is held up to 2 MiB, within the memory budget, and replaced by another target's if it breaks off.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -43,6 +43,9 @@
 	begun int
 	// running is the number of calls whose Serve has not returned.
 	running int
+	// streaming is the number of begun calls whose reply is passed on while it
+	// arrives.
+	streaming int
 	// writer is the call whose goroutine writes replies, or nil.
 	writer *Call
 	// dropped holds calls that were read and are not served.
--- a/callers/order.go
+++ b/callers/order.go
@@ -26,6 +26,9 @@
 	waited bool
 	// ended is set by the goroutine that writes before it ends the reply.
 	ended bool
+	// streams is set if the reply is passed on while it arrives. It is guarded by
+	// conn.mu.
+	streams bool
 
 	// The following fields are guarded by conn.mu.
 
@@ -79,6 +82,25 @@
 	return call.conn.aborted
 }
 
+// ClaimStream reports whether the reply may be passed on while it arrives. If it
+// breaks off, the connection has to end, and with it the replies to all requests
+// that were begun. A reply that others depend on may therefore be streamed only if
+// it is too large to be held, with force. No further request is begun until a
+// streamed reply was written.
+func (call *Call) ClaimStream(force bool) bool {
+	c := call.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun > 1 && !force {
+		return false
+	}
+	if !call.streams {
+		call.streams = true
+		c.streaming++
+	}
+	return true
+}
+
 func (call *Call) isExpired() bool {
 	expires := call.request.Expires()
 	return !expires.IsZero() && !time.Now().Before(expires)
@@ -182,6 +204,9 @@
 	if c.begun == 0 {
 		return true
 	}
+	if c.streaming > 0 {
+		return false
+	}
 	// One that may not run beside others was begun only if it is the first.
 	return call.concurrent && c.queue[c.begun-1].concurrent && c.running < max(c.handler.Concurrency(), 1) &&
 		c.waitingBytes < maxWaitingReplies && !c.overBudget && !c.handler.Leaving()
@@ -286,6 +311,9 @@
 	c.queue = slices.Delete(c.queue, 0, 1)
 	c.begun--
 	c.readBytes -= call.bytes
+	if call.streams {
+		c.streaming--
+	}
 	call.discharge()
 	c.overBudget = false
 	if err != nil {
--- a/callers/order_test.go
+++ b/callers/order_test.go
@@ -455,3 +455,30 @@
 	c.waitFor("end", func() bool { open, _ := c.set.Count(); return open == 0 })
 	c.expectReleased(ReasonWriteFailed)
 }
+
+// Guards against requests that are begun behind a reply that is passed on while it
+// arrives: if it breaks off, their replies are lost with the connection.
+func TestNothingBeginsBehindAStreamedReply(t *testing.T) {
+	g := newGates()
+	h := newTestHandler(nil)
+	claimed := make(chan bool, 1)
+	read, write := io.Pipe()
+	h.script = func(r *testRequest, call *Call) *testReply {
+		if r.id != "a" {
+			return g.script(r, call)
+		}
+		claimed <- call.ClaimStream(false)
+		return &testReply{body: "part", rest: read, restLength: 4}
+	}
+	c := connect(t, h)
+	c.send(gets("a"))
+	c.is.True(<-claimed)
+	c.send(gets("b", "c"))
+	time.Sleep(100 * time.Millisecond)
+	c.is.Equal(h.startedIDs(), []string{"a"})
+	g.release("b", "c")
+	_, _ = write.Write([]byte("rest"))
+	_ = write.Close()
+	c.expect("a", "b", "c")
+	c.is.Equal(h.sortedIDs(), []string{"a", "b", "c"})
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -89,6 +89,28 @@
 	retryable, newConnOnly bool
 	// deadline is when the response must have arrived.
 	deadline time.Time
+	// turn is the place of the response on its caller's connection.
+	turn responseTurn
+}
+
+// responseTurn is the place of a response among those of its caller's connection.
+type responseTurn interface {
+	// ClaimStream reports whether a response may be passed on while it arrives. With
+	// force it may, although others depend on its end.
+	ClaimStream(force bool) bool
+}
+
+// prepareStream holds a large response as far as others of its connection depend on
+// it.
+func (req *outboundRequest) prepareStream(resp *response) error {
+	if req.turn.ClaimStream(false) {
+		return nil
+	}
+	if err := resp.holdMore(maxPipelinedResponse); err != nil || resp.rest == nil {
+		return err
+	}
+	req.turn.ClaimStream(true)
+	return nil
 }
 
 // do sends the request to the target that s names and reads the response.
@@ -115,6 +137,9 @@
 	}
 	sentAt := time.Now()
 	resp, sentAll, err := x.roundTrip(conn, req, s, &heldBody{budget: p.budget, owner: s.Target})
+	if err == nil && resp.rest != nil {
+		err = req.prepareStream(resp)
+	}
 	if err != nil {
 		bound := x.unbind()
 		closeQuietly(conn)
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -22,6 +22,10 @@
 	// memory. A response that is held in full can be replaced by that of another
 	// target if it breaks off; a larger one is passed on in pieces.
 	maxHeldResponse = 128 << 10
+	// maxPipelinedResponse is the same for a response whose caller has further
+	// requests under way on its connection: if it broke off after a part of it was
+	// passed on, their responses would be lost with the connection.
+	maxPipelinedResponse = 2 << 20
 	// maxResponseBody limits the body of a target's response.
 	maxResponseBody = 16 << 20
 	// maxResponsesRead limits the responses that are read for one request. 1xx
@@ -297,6 +301,25 @@
 	return nil
 }
 
+// holdMore reads the body further, up to limit bytes in all. On an error it keeps
+// nothing.
+func (resp *response) holdMore(limit int) error {
+	if declared := resp.header.ContentLength(); declared > 0 {
+		// The end of the body is known after its last byte was read.
+		limit = min(limit, declared+1)
+	}
+	ended, err := resp.held.readUpTo(resp.rest, limit)
+	if err != nil {
+		resp.release()
+		return err
+	}
+	resp.body = resp.held.bytes
+	if ended {
+		resp.rest = nil
+	}
+	return nil
+}
+
 // validate returns an error if the response must not be forwarded as the
 // target's.
 func (resp *response) validate() error {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -216,7 +216,7 @@
 	req := &outboundRequest{
 		commonHead: r.appendCommonHead(make([]byte, 0, 512)),
 		id:         r.id, body: r.body, isHead: r.header.IsHead(), deadline: r.Deadline,
-		retryable: r.Route.Kind.Retryable(),
+		retryable: r.Route.Kind.Retryable(), turn: call,
 	}
 	g.connMetrics.recordFirstSend(time.Since(r.arrived))
 	for {
