gateway: a response that waits for its turn does not lie unread at its target

Cause: beyond what is held, a response is read only as fast as it is passed on, so not at all before its turn.

Without room it lies unread for 1 s at most; then the exchange is given up (result discarded) and the request runs again in its turn, within the retry budget and its attempts.

Ruled out: a larger share of the budget for one target; asking the connection whether its target has closed, since the end of the stream waits behind unread bytes; predicting sizes, which says nothing of the first responses.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -357,6 +357,7 @@
 	c.endReadingLocked(reason)
 	for _, call := range c.queue {
 		call.cancelLocked()
+		call.signalTurn()
 	}
 	c.interruptReader()
 }
--- a/callers/order.go
+++ b/callers/order.go
@@ -36,6 +36,8 @@
 	// running is set while Serve runs, served once it was begun.
 	running, served bool
 	exchange        Canceler
+	// turn receives a signal for a goroutine in AwaitTurn; it is nil otherwise.
+	turn chan struct{}
 	// charged are the bytes that were counted towards the memory budget,
 	// waitingBytes those of the reply while it waits.
 	charged, waitingBytes int
@@ -101,6 +103,50 @@
 	return true
 }
 
+// AwaitTurn waits until all replies before this one were written. It returns false
+// if the timeout passes before, or the connection ends.
+func (call *Call) AwaitTurn(timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		turn, isFirst := call.turnSignal()
+		if turn == nil {
+			return isFirst
+		}
+		select {
+		case <-turn:
+		case <-timer.C:
+			return false
+		}
+	}
+}
+
+// turnSignal returns whether the call is the first one, and otherwise a channel
+// that receives a signal when that may have changed. There is none once the
+// connection has ended.
+func (call *Call) turnSignal() (turn chan struct{}, isFirst bool) {
+	c := call.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.aborted:
+		return nil, false
+	case c.queue[0] == call:
+		return nil, true
+	case call.turn == nil:
+		call.turn = make(chan struct{}, 1)
+	}
+	return call.turn, false
+}
+
+// signalTurn wakes AwaitTurn. It is called with conn.mu held.
+func (call *Call) signalTurn() {
+	select {
+	case call.turn <- struct{}{}:
+	default:
+	}
+}
+
 func (call *Call) isExpired() bool {
 	expires := call.request.Expires()
 	return !expires.IsZero() && !time.Now().Before(expires)
@@ -323,8 +369,11 @@
 	}
 	c.beginReady(nil)
 	c.signal()
-	if len(c.queue) > 0 && c.queue[0].reply != nil {
-		return true
+	if len(c.queue) > 0 {
+		if c.queue[0].reply != nil {
+			return true
+		}
+		c.queue[0].signalTurn()
 	}
 	c.endWriting()
 	return false
--- a/callers/order_test.go
+++ b/callers/order_test.go
@@ -482,3 +482,34 @@
 	c.expect("a", "b", "c")
 	c.is.Equal(h.sortedIDs(), []string{"a", "b", "c"})
 }
+
+// Guards against a reply that is streamed although others depend on its end, and
+// against a wait for the turn that misses it or outlives the connection.
+func TestRepliesBesideOthersWaitForTheirTurn(t *testing.T) {
+	for _, disconnects := range []bool{false, true} {
+		g := newGates()
+		h := newTestHandler(nil)
+		claimed, turns := make(chan bool, 2), make(chan bool, 2)
+		h.script = func(r *testRequest, call *Call) *testReply {
+			if r.id == "b" {
+				claimed <- call.ClaimStream(false)
+				turns <- call.AwaitTurn(20 * time.Millisecond)
+				turns <- call.AwaitTurn(10 * time.Second)
+			}
+			return g.script(r, call)
+		}
+		c := connect(t, h)
+		c.send(gets("a", "b"))
+		c.is.True(!<-claimed)
+		c.is.True(!<-turns)
+		if disconnects {
+			_ = c.conn.Close()
+			c.is.True(!<-turns)
+			c.expectReleased(ReasonCallerClosed)
+			continue
+		}
+		g.release("a", "b")
+		c.is.True(<-turns)
+		c.expect("a", "b")
+	}
+}
--- a/core/steer/request.go
+++ b/core/steer/request.go
@@ -271,10 +271,13 @@
 	TimedOut
 	// Abandoned means that the caller disconnected.
 	Abandoned
+	// Discarded means that a response was given up since it could neither be passed
+	// on yet nor held.
+	Discarded
 )
 
 var resultNames = [...]string{
-	"answered", "failed", "shed", "misdirected", "not_sent", "broken", "timed_out", "abandoned",
+	"answered", "failed", "shed", "misdirected", "not_sent", "broken", "timed_out", "abandoned", "discarded",
 }
 
 func (r Result) String() string { return resultNames[r] }
@@ -394,7 +397,7 @@
 	case TimedOut:
 		t.health.recordFailure(now, false)
 		t.recordDuration(now, elapsed, s.expectedDuration)
-	case Abandoned:
+	case Abandoned, Discarded:
 		t.health.cancelProbe()
 	}
 }
@@ -460,7 +463,7 @@
 		return ReasonShed, e.takeRetry(now, r)
 	case NotSent:
 		return ReasonUnreachable, !r.Streaming && len(r.tried) < maxTriedTargets
-	case TimedOut:
+	case TimedOut, Discarded:
 		return ReasonTimeout, r.Route.Kind.Retryable() && e.takeRetry(now, r)
 	default:
 		if report.Cause == Malformed {
--- a/core/steer/retry_test.go
+++ b/core/steer/retry_test.go
@@ -74,3 +74,34 @@
 	t.Logf("%.0f retries, %.0f allowed", retries, allowed)
 	is.New(t).True(retries <= allowed)
 }
+
+// TestDiscardedResponseIsRetriedWithinTheBudget guards against a response that was
+// given up here and counts against its target, and against a second run that does
+// not count towards the retry budget, or of a request that must run once.
+func TestDiscardedResponseIsRetriedWithinTheBudget(t *testing.T) {
+	for _, path := range []string{"/read/1", "/order/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(t, "i", "a1")
+			addTargets(e, "s", 3, "a1")
+			const requests = 2000
+			retries := 0
+			for range requests {
+				r := newTestRequest(e, start, path, 5)
+				s := mustSend(t, e, start, r)
+				is.True(s.target.health.ejectedUntil.IsZero())
+				next, refusal := finish(e, start, r, s, Discarded)
+				is.True(r.MayHaveRun())
+				is.Equal(refusal != nil, next == nil)
+				if next != nil {
+					retries++
+					_, refusal = finish(e, start, r, next, Responded)
+					is.True(refusal == nil)
+				}
+			}
+			is.Equal(retries > 0, path == "/read/1")
+			rule := RetryRule{Ratio: 0.2, Extra: 62}
+			is.True(float64(retries) <= rule.Ratio*requests+rule.Extra)
+		})
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -98,10 +98,19 @@
 	// ClaimStream reports whether a response may be passed on while it arrives. With
 	// force it may, although others depend on its end.
 	ClaimStream(force bool) bool
+	// AwaitTurn waits until the responses before it were passed on.
+	AwaitTurn(timeout time.Duration) bool
 }
 
+// maxUnreadTime is how long a response that cannot be held lies unread at its target
+// while it waits for its turn. Targets cut it off after some seconds.
+const maxUnreadTime = time.Second
+
+// errNoRoom is the error of a response that could not be held until its turn.
+var errNoRoom = errors.New("there is no room to hold the response until its turn")
+
 // prepareStream holds a large response as far as others of its connection depend on
-// it.
+// it, and waits for its turn if it cannot be held in full.
 func (req *outboundRequest) prepareStream(resp *response) error {
 	if req.turn.ClaimStream(false) {
 		return nil
@@ -109,6 +118,10 @@
 	if err := resp.holdMore(maxPipelinedResponse); err != nil || resp.rest == nil {
 		return err
 	}
+	if !req.turn.AwaitTurn(maxUnreadTime) {
+		resp.release()
+		return errNoRoom
+	}
 	req.turn.ClaimStream(true)
 	return nil
 }
@@ -211,6 +224,8 @@
 		return steer.Abandoned
 	case isUploadError(err):
 		return steer.Abandoned
+	case errors.Is(err, errNoRoom):
+		return steer.Discarded
 	case !time.Now().Before(deadline):
 		// The errors of the header parser do not distinguish a timeout from a
 		// broken connection, so the clock decides.
--- a/gateway/message.go
+++ b/gateway/message.go
@@ -24,7 +24,8 @@
 	maxHeldResponse = 128 << 10
 	// maxPipelinedResponse is the same for a response whose caller has further
 	// requests under way on its connection: if it broke off after a part of it was
-	// passed on, their responses would be lost with the connection.
+	// passed on, their responses would be lost with the connection. One that waits
+	// for its turn must not lie unread at its target, which may cut it off.
 	maxPipelinedResponse = 2 << 20
 	// maxResponseBody limits the body of a target's response.
 	maxResponseBody = 16 << 20
--- a/gateway/pipelined_large_test.go
+++ b/gateway/pipelined_large_test.go
@@ -68,6 +68,40 @@
 	s.waitFor("release", func() bool { return heldBytes(g) == 0 })
 }
 
+// Guards against a large response that lies unread at its target while it waits for
+// one before it: the target cuts it off, and the connection ends with all responses
+// behind it (review/7).
+func TestWaitingResponseIsReadFromItsTarget(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.startTarget("i-1", func(conn net.Conn, r *receivedRequest) bool {
+		switch {
+		case strings.Contains(r.line, "first"):
+			time.Sleep(600 * time.Millisecond)
+		case strings.Contains(r.line, "large"):
+			_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+			// The target does not wait longer for the reader.
+			_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
+			return writeLarge(conn, r, largeBody) == nil
+		}
+		return respondOK(conn, r)
+	})
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	c := s.connect(g)
+	sendPipelined(t, c, "/read/first", "/read/large", "/read/a", "/read/b")
+	for i := range 4 {
+		resp := c.receive()
+		is.NoErr(resp.err)
+		is.Equal(resp.status, 200)
+		if i == 1 {
+			is.Equal(len(resp.body), largeBody)
+		}
+	}
+	s.waitFor("release", func() bool { return heldBytes(g) == 0 })
+}
+
 // Guards against requests that run behind a response which is passed on while it
 // arrives: if it breaks off, their responses are lost.
 func TestNothingRunsBehindAStreamedResponse(t *testing.T) {
@@ -100,3 +134,41 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(u.count(), 1)
 }
+
+// Guards against a large response that can neither be held nor passed on yet and
+// ends the connection when its target cuts it off: its request runs again in its
+// turn.
+func TestResponseWithoutRoomIsRequestedAgainInItsTurn(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	var large atomic.Int64
+	for i := range 2 {
+		s.startTarget(fmt.Sprintf("i-%d", i), func(conn net.Conn, r *receivedRequest) bool {
+			switch {
+			case strings.Contains(r.line, "first"):
+				time.Sleep(1500 * time.Millisecond)
+			case strings.Contains(r.line, "large"):
+				large.Add(1)
+				return writeLarge(conn, r, largeBody) == nil
+			}
+			return respondOK(conn, r)
+		})
+	}
+	g := s.startInstance("g")
+	s.waitForTargets(g, 2)
+	s.store.Put("op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(testDocument, 2), "700ms", "4000ms")))
+	s.waitForDocument(g, 2)
+	g.pools.budget.limit = largeBody / 2
+	c := s.connect(g)
+	sendPipelined(t, c, "/read/first", "/read/large", "/read/a")
+	for i := range 3 {
+		resp := c.receive()
+		is.NoErr(resp.err)
+		is.Equal(resp.status, 200)
+		if i == 1 {
+			is.Equal(len(resp.body), largeBody)
+		}
+	}
+	is.Equal(large.Load(), int64(2))
+	s.waitFor("release", func() bool { return heldBytes(g) == 0 })
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -230,6 +230,12 @@
 			return g.streamedReply(r, call, &send, &out)
 		}
 		call.Detach()
+		if out.Result == steer.Discarded {
+			// The caller could not receive another response sooner.
+			if !call.AwaitTurn(time.Until(r.Deadline)) && call.Aborted() {
+				out.Result = steer.Abandoned
+			}
+		}
 		next, refusal := g.finishExchange(r, &send, &out)
 		if refusal == nil && next == nil {
 			if unproven {
