soak: callers that pipeline and read slowly

Three callers keep four reads outstanding, read 25 KB/s of responses of 9,000 bytes into a small buffer and go on sending until they have read that the connection closes. New checks: no response that a server has given in full is lost with a connection whose daemon was at most stopped as planned, and whose server was not disturbed, within 2 s before the request; a daemon ends within its grace period.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -84,6 +85,12 @@
 	load       *load
 	// cancelled holds by request ID when the caller closed the connection.
 	cancelled map[string]time.Time
+	// answered holds by request ID which server has given a response in full.
+	answered map[string]answer
+	// disturbances counts what happens to daemons and servers now, lastDisturbed is
+	// when it last ended.
+	disturbances  map[string]int
+	lastDisturbed map[string]time.Time
 	// violations are those that servers observed.
 	violations []string
 	// activeFaults counts the faults in progress; lastFaultEnd is the time when
@@ -106,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, binary: binary, store: store, runs: map[string]int{}, cancelled: map[string]time.Time{}, sent: map[string]*attempt{}, evacuations: map[string]int{}, lastFaultEnd: time.Now()}
+	c := &cluster{dir: dir, binary: binary, store: store, runs: map[string]int{}, cancelled: map[string]time.Time{}, answered: map[string]answer{}, disturbances: map[string]int{}, lastDisturbed: map[string]time.Time{}, sent: map[string]*attempt{}, evacuations: map[string]int{}, lastFaultEnd: time.Now()}
 	if err := c.claimBlock(); err != nil {
 		return nil, err
 	}
@@ -264,13 +271,15 @@
 	damages := s.damages
 	c.mu.Unlock()
 	if damages && rand.IntN(3) == 0 {
-		writeDamaged(rw, id, fmt.Sprintf("%s %s", id, r.URL.Path))
+		writeDamaged(rw, id, responseBody(id, r.URL.Path))
 		return
 	}
 	rw.Header().Set("X-Request-Id", id)
 	rw.Header().Set("X-Server-Seal", "mac-"+id)
 	rw.Header().Set("X-Server-Load", "1,0,3")
-	_, _ = fmt.Fprintf(rw, "%s %s", id, r.URL.Path)
+	if _, err := io.WriteString(rw, responseBody(id, r.URL.Path)); err == nil {
+		c.recordAnswered(s, id)
+	}
 }
 
 // cancelTime is the longest time that a request may begin to run after its caller
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -27,7 +27,11 @@
 	}},
 	{"history", func(c *cluster, _ *rand.Rand, _ time.Duration) { c.store.DropHistory() }},
 	{"store connections", func(c *cluster, r *rand.Rand, duration time.Duration) { disturb(c.storeProxy, r, duration) }},
-	{"target connections", func(c *cluster, r *rand.Rand, duration time.Duration) { disturb(c.randomServer(r).proxy, r, duration) }},
+	{"target connections", func(c *cluster, r *rand.Rand, duration time.Duration) {
+		s := c.randomServer(r)
+		defer c.disturbed(s.id)()
+		disturb(s.proxy, r, duration)
+	}},
 	{"document", func(c *cluster, _ *rand.Rand, _ time.Duration) { c.publishDocument() }},
 	{"evacuation", func(c *cluster, r *rand.Rand, duration time.Duration) {
 		zone := zones[r.IntN(len(zones))]
@@ -110,10 +114,18 @@
 		return
 	}
 	defer c.releaseDaemon(d)
+	if s == syscall.SIGKILL {
+		defer c.disturbed(d.address)()
+	}
 	d.signal(s)
 	select {
 	case <-d.exited:
 	case <-time.After(gracePeriod):
+		if s == syscall.SIGTERM {
+			c.mu.Lock()
+			c.addViolation("%s was still running at the end of its grace period", d.name)
+			c.mu.Unlock()
+		}
 		d.signal(syscall.SIGKILL)
 		<-d.exited
 	}
@@ -130,6 +142,7 @@
 		return
 	}
 	defer c.releaseDaemon(d)
+	defer c.disturbed(d.address)()
 	d.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	d.signal(syscall.SIGCONT)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -248,6 +248,8 @@
 	idempotent bool
 	// status is the HTTP status, or 0 without a response.
 	status int
+	// err is why the response was not read in full.
+	err error
 	// violation says what is wrong with the response, empty if nothing is.
 	violation string
 	at        time.Time
@@ -259,6 +261,8 @@
 	account string
 	key     *clientKey
 	public  bool
+	// bulk is set if the response is large.
+	bulk bool
 	// mustRefuse is set if the request must not be served.
 	mustRefuse bool
 }
@@ -271,7 +275,7 @@
 	attempts []*attempt
 }
 
-const callerCount, pipeliningCallerCount = 16, 3
+const callerCount, pipeliningCallerCount, slowCallerCount = 16, 3, 3
 
 // caller sends requests on a connection of its own until done is closed. It
 // reuses the connection as long as the connection works.
@@ -283,6 +287,8 @@
 	pause time.Duration
 	// pipelines is set if the caller sends several requests at once.
 	pipelines bool
+	// slow is set if the caller keeps several requests outstanding and reads slowly.
+	slow bool
 	// floods is set if the requests count towards no rate of served requests.
 	floods bool
 	done   <-chan struct{}
@@ -300,6 +306,9 @@
 	for i := range pipeliningCallerCount {
 		start(200+i, caller{name: fmt.Sprintf("pipe%d", i), account: accountNames[i%len(accountNames)], pause: 200 * time.Millisecond, pipelines: true, done: l.done})
 	}
+	for i := range slowCallerCount {
+		start(220+i, caller{name: fmt.Sprintf("slow%d", i), account: accountNames[i%len(accountNames)], pause: 200 * time.Millisecond, slow: true, done: l.done})
+	}
 	return l
 }
 
@@ -326,14 +335,23 @@
 				continue
 			}
 			var err error
-			if conn, err = net.DialTimeout("tcp4", address, time.Second); err != nil {
+			if conn, err = who.dial(address); err != nil {
 				conn = nil
 				continue
 			}
 			reader = bufio.NewReader(conn)
+			if who.slow {
+				reader = bufio.NewReaderSize(slowReader{conn}, slowPiece)
+			}
+		}
+		var attempts []*attempt
+		var keep bool
+		if who.slow {
+			attempts, keep = c.exchangeSlowly(conn, reader, r, who, n)
+		} else {
+			attempts = c.newAttempts(r, who, n)
+			keep = c.exchange(conn, reader, r, who, attempts)
 		}
-		attempts := c.newAttempts(r, who, n)
-		keep := c.exchange(conn, reader, r, who, attempts)
 		l.mu.Lock()
 		l.attempts = append(l.attempts, attempts...)
 		l.mu.Unlock()
@@ -437,6 +455,9 @@
 func (a *attempt) encode(text *strings.Builder, r *rand.Rand, authorize func() string) {
 	method, body := "GET", ""
 	a.path = fmt.Sprintf("/read/%d", r.IntN(20))
+	if a.bulk {
+		a.path += bulkSuffix
+	}
 	if !a.idempotent {
 		method, a.path, body = "POST", "/order/"+a.id, strings.Repeat("x", r.IntN(40_000))
 	}
@@ -450,15 +471,16 @@
 func (a *attempt) receive(reader *bufio.Reader) (complete, closing bool) {
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
+		a.err = err
 		return false, false
 	}
 	content, err := io.ReadAll(response.Body)
-	a.status = response.StatusCode
+	a.status, a.err = response.StatusCode, err
 	id := response.Header.Get("X-Request-Id")
 	switch {
 	case a.status < 300 && err != nil:
 		a.violation = "successful response with an incomplete body: " + err.Error()
-	case a.status < 300 && string(content) != a.id+" "+a.path:
+	case a.status < 300 && string(content) != responseBody(a.id, a.path):
 		a.violation = fmt.Sprintf("successful response with the wrong body %q", content)
 	case a.status < 300 && response.Header.Get("X-Server-Seal") != "mac-"+a.id:
 		a.violation = "successful response without the MAC of its body"
