callers: a caller that disconnects during a write does not count as stalled

By reading: a reset that the writer meets before the reader would be counted as connections_closed_total{outcome="stalled"} and logged as unreceived. TestDisconnectDuringAWriteIsNoStall guards it; it passed before as well, since the reader noticed the reset first in all runs.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -209,7 +209,7 @@
 		c.handler.Closed(c.set.ending.Close(c.net, discard))
 	case abortReason == ReasonCutShort || abortReason == ReasonPanic:
 		c.handler.Closed(c.set.ending.Reset(c.net, discard))
-	case abortReason == ReasonWriteFailed:
+	case abortReason == ReasonWriteFailed && !hasPeerClosed(c.net):
 		unreceived := linger.Unreceived(c.net)
 		linger.Abandon(c.net)
 		c.handler.Closed(linger.Stalled, unreceived)
--- a/callers/delivery_test.go
+++ b/callers/delivery_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pistachioford.example/pistachioford/linger"
 )
 
 // slowResponse is the size of the responses that slow callers get. Several of them
@@ -207,4 +209,19 @@
 	c.waitFor("end", func() bool { open, _ := c.set.Count(); return open == 0 })
 	c.is.True(time.Since(began) < 8*time.Second)
 	c.expectReleased(ReasonLeaving)
+	c.is.Equal(h.outcomes, []linger.Outcome{linger.Stalled})
+}
+
+// Guards against a caller that is counted as one that does not read although it has
+// disconnected.
+func TestDisconnectDuringAWriteIsNoStall(t *testing.T) {
+	h := newTestHandler(func(*testRequest, *Call) *testReply { return &testReply{body: strings.Repeat("x", 8<<20)} })
+	c := connectSlow(t, h)
+	c.send(gets("a"))
+	c.waitStarted(1)
+	time.Sleep(100 * time.Millisecond)
+	c.is.NoErr(c.conn.SetLinger(0))
+	_ = c.conn.Close()
+	c.waitFor("end", func() bool { open, _ := c.set.Count(); return open == 0 })
+	c.is.Equal(len(h.outcomes), 0)
 }
