--- a/callers/delivery_test.go
+++ b/callers/delivery_test.go
@@ -5,15 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pistachioford.example/pistachioford/linger"
+	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
 // slowResponse is the size of the responses that slow callers get. Several of them
@@ -24,13 +21,7 @@
 // responses that it does not read wait on the other side.
 func connectSlow(t *testing.T, h *testHandler) *testCaller {
 	t.Helper()
-	return connectWith(t, h, &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
-		})
-		return errors.Join(err, sockErr)
-	}})
+	return connectWith(t, h, lingertest.Dialer())
 }
 
 // newSlowHandler responds to each request with slowResponse bytes.
@@ -171,7 +162,7 @@
 			c := connectSlow(t, h)
 			c.shrinkSendBuffer(8 << 10)
 			c.send(gets("a"))
-			c.br = bufio.NewReaderSize(steadyReader{c.conn}, 1024)
+			c.br = bufio.NewReader(lingertest.SlowReader{Conn: c.conn, Rate: 16 << 10})
 			r, err := c.receiveWithin(30 * time.Second)
 			c.is.NoErr(err)
 			c.is.Equal(len(r.body), size)
@@ -187,15 +178,6 @@
 	}
 }
 
-// steadyReader reads 16 KiB/s.
-type steadyReader struct{ conn net.Conn }
-
-func (r steadyReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p[:min(len(p), 1024)])
-	time.Sleep(time.Duration(n) * time.Second / (16 << 10))
-	return n, err
-}
-
 // Guards against a caller that reads nothing and keeps its connection after the
 // last response.
 func TestCallerThatReadsNothingIsGivenUp(t *testing.T) {
--- a/entry/delivery_test.go
+++ b/entry/delivery_test.go
@@ -3,19 +3,17 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
+
+	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
 // Guards against a stop that closes a connection while its caller still reads the
@@ -25,14 +23,7 @@
 	is := is.New(t)
 	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(strings.Repeat("x", 9000)) })
 	i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
-	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
-		})
-		return errors.Join(err, sockErr)
-	}}
-	conn, err := dialer.Dial("tcp4", i.callers.Address())
+	conn, err := lingertest.Dialer().Dial("tcp4", i.callers.Address())
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
 	const requests = 4
--- a/gateway/delivery_test.go
+++ b/gateway/delivery_test.go
@@ -2,41 +2,24 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
-)
-
-// slowReader reads a response of 9,000 bytes in 0.36 s.
-type slowReader struct{ conn net.Conn }
 
-func (r slowReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p[:min(len(p), 1024)])
-	time.Sleep(time.Duration(n) * time.Second / 25_000)
-	return n, err
-}
+	"pistachioford.example/pistachioford/linger/lingertest"
+)
 
 // dialSlow connects a caller whose receive buffer is small.
 func dialSlow(t *testing.T, address string) *net.TCPConn {
 	t.Helper()
-	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
-		})
-		return errors.Join(err, sockErr)
-	}}
-	conn, err := dialer.Dial("tcp4", address)
+	conn, err := lingertest.Dialer().Dial("tcp4", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +61,7 @@
 	g := s.startInstance("g")
 	s.waitForTargets(g, 1)
 	conn := dialSlow(t, g.node.Requests)
-	br := bufio.NewReaderSize(slowReader{conn}, 1024)
+	br := bufio.NewReader(lingertest.SlowReader{Conn: conn, Rate: 25_000})
 	sent, received := 4, 0
 	is.NoErr(sendReads(conn, 0, sent))
 	s.waitWritten(g, sent)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -27,8 +27,8 @@
 // acknowledges probes of its closed window. TCP_USER_TIMEOUT does not distinguish
 // the two: it breaks the connection of either.
 type silence struct {
-	// since is from when on an acknowledgement has been awaited, while left bytes
-	// were left.
+	// since is from when on an acknowledgement has been awaited; left are the bytes
+	// that were left then.
 	since time.Time
 	left  int
 }
--- a/gateway/slow_upload_test.go
+++ b/gateway/slow_upload_test.go
@@ -14,7 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
 // startSlowReader registers a target that reads a part of a large body, then nothing
@@ -22,9 +23,7 @@
 func (s *site) startSlowReader(id string, pause time.Duration) (received *atomic.Int64) {
 	s.t.Helper()
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 32<<10)
-		})
+		return lingertest.SetReceiveBuffer(raw, 32<<10)
 	}}
 	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -71,8 +71,8 @@
 // member is a connection that is ending. It is guarded by the group's mu.
 type member struct {
 	conn *net.TCPConn
-	// left are the bytes that the peer had not received at progressAt, the last
-	// time at which some were taken.
+	// left are the bytes that the peer had not received when the system was last
+	// asked, progressAt is when it had last taken some.
 	left       int
 	progressAt time.Time
 	// measured is set once left is known.
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
 // pair returns the two ends of a connection whose peer has a small receive buffer.
@@ -21,14 +22,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
-		})
-		return errors.Join(err, sockErr)
-	}}
-	dialed, err := dialer.Dial("tcp4", listener.Addr().String())
+	dialed, err := lingertest.Dialer().Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/linger/progress_test.go
+++ b/linger/progress_test.go
@@ -26,8 +26,8 @@
 			began := time.Unix(1000, 0)
 			var p Progress
 			p.StartAt(began)
-			for left, now := test.total, began; ; now = now.Add(100 * time.Millisecond) {
-				left = max(test.total-int(now.Sub(began).Seconds()*float64(test.bytesPerSecond)), 0)
+			for now := began; ; now = now.Add(100 * time.Millisecond) {
+				left := max(test.total-int(now.Sub(began).Seconds()*float64(test.bytesPerSecond)), 0)
 				if p.Stalled(now, left) {
 					is.Equal(now.Sub(began), test.want)
 					return
--- a/soak/slow_test.go
+++ b/soak/slow_test.go
@@ -9,20 +9,18 @@
 	"net"
 	"os"
 	"strings"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
 const (
 	// bulkSuffix ends the paths whose responses have bulkBytes.
 	bulkSuffix = "-bulk"
 	bulkBytes  = 9000
-	// slowPiece is what a slow caller reads at once, slowRate its bytes a second and
-	// slowOutstanding the requests that it keeps outstanding. A request so takes 1.4 s
-	// of its deadline of 2 s.
-	slowPiece       = 1024
+	// slowRate is what a slow caller reads, in bytes/s, and slowOutstanding the
+	// requests that it keeps outstanding. A request so takes 1.4 s of its deadline of
+	// 2 s.
 	slowRate        = 25_000
 	slowOutstanding = 4
 	// slowRequests is how many requests a slow caller sends before it pauses.
@@ -44,29 +42,13 @@
 	return body
 }
 
-// slowReader reads slowRate bytes a second.
-type slowReader struct{ conn net.Conn }
-
-func (r slowReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p[:min(len(p), slowPiece)])
-	time.Sleep(time.Duration(n) * time.Second / slowRate)
-	return n, err
-}
-
 // dial opens a connection. That of a slow caller has a small receive buffer, so that
 // responses wait at the daemon.
 func (who caller) dial(address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: time.Second}
 	if who.slow {
-		dialer.Control = func(_, _ string, raw syscall.RawConn) error {
-			var sockErr error
-			err := raw.Control(func(fd uintptr) {
-				sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
-			})
-			return errors.Join(err, sockErr)
-		}
+		return lingertest.Dialer().Dial("tcp4", address)
 	}
-	return dialer.Dial("tcp4", address)
+	return net.DialTimeout("tcp4", address, time.Second)
 }
 
 // exchangeSlowly keeps requests outstanding on a connection and reads the responses
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"pistachioford.example/pistachioford/linger/lingertest"
 	"pistachioford.example/pistachioford/operate"
 )
 
@@ -341,7 +342,7 @@
 			}
 			reader = bufio.NewReader(conn)
 			if who.slow {
-				reader = bufio.NewReaderSize(slowReader{conn}, slowPiece)
+				reader = bufio.NewReader(lingertest.SlowReader{Conn: conn, Rate: slowRate})
 			}
 		}
 		var attempts []*attempt
