entry: a caller that reads nothing is cut off after 5 s

Cause: the HTTP server has no write timeout, and one would count from the start of a response.

Change: TCP_USER_TIMEOUT of 5 s on callers' connections. The system applies it to a window that stays closed, and it costs nothing on each write.

Evidence: TestCallerThatReadsNothingIsCutOff failed before after 10 s and passes now.

--- a/entry/delivery_test.go
+++ b/entry/delivery_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"pistachioford.example/pistachioford/linger"
 	"pistachioford.example/pistachioford/linger/lingertest"
 )
 
@@ -53,3 +54,21 @@
 	is.Equal(err, io.EOF)
 	is.NoErr(<-ended)
 }
+
+// Guards against a caller that reads nothing of its response and keeps its
+// connection without limit.
+func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
+	is := is.New(t)
+	address := startUpstream(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(strings.Repeat("x", 8<<20)) })
+	i := newInstance(t, "one", "a", "north", testDocument(t, false, address))
+	conn, err := lingertest.Dialer().Dial("tcp4", i.callers.Address())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /reads/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(i.callers.http.GetOpenConnectionsCount(), int32(1))
+	for end := time.Now().Add(linger.StallTimeout + 5*time.Second); i.callers.http.GetOpenConnectionsCount() > 0; time.Sleep(50 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+}
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -15,6 +15,7 @@
 // Limit returns a listener that closes connections beyond the limit as soon as
 // it has accepted them. No request is read from them, so none can run.
 //
+// A caller that reads nothing of its response is cut off after linger.StallTimeout.
 // A connection that is closed stays open until its caller has received what was
 // written. Until then it counts towards the limit.
 func Limit(listener net.Listener, connections int) net.Listener {
@@ -56,6 +57,7 @@
 			return nil, err
 		}
 		if l.openConns.Add(1) <= l.limit || l.ending.Reclaim() {
+			linger.LimitStall(conn)
 			return &limitedConn{Conn: conn, listener: l}, nil
 		}
 		l.openConns.Add(-1)
--- a/linger/socket.go
+++ b/linger/socket.go
@@ -33,6 +33,16 @@
 	return at
 }
 
+// LimitStall makes the system reset a TCP connection whose peer acknowledges nothing,
+// or does not open its window, for StallTimeout while something was written to it.
+// Unlike a deadline it costs nothing on each write. One that takes single bytes is
+// not limited.
+func LimitStall(conn net.Conn) {
+	control(conn, func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(StallTimeout.Milliseconds()))
+	})
+}
+
 func control(conn net.Conn, f func(fd int)) {
 	tcpConn, ok := conn.(*net.TCPConn)
 	if !ok {
