gateway: tests of large pipelined responses wait for the requests behind them

Cause: the target responded before the requests behind had arrived; they were then not begun, and the response was streamed, as intended. The target now waits for them, and the routes get 4 s instead of 0.7 s, so that the load does not decide.

--- a/gateway/pipelined_large_test.go
+++ b/gateway/pipelined_large_test.go
@@ -23,6 +23,13 @@
 	return err
 }
 
+// setLongTimeouts gives the routes timeouts of 4 s in a new document.
+func (s *site) setLongTimeouts(g *Gateway) {
+	s.t.Helper()
+	s.store.Put("op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(testDocument, 2), "700ms", "4000ms")))
+	s.waitForDocument(g, 2)
+}
+
 // sendPipelined sends reads of paths on one connection without waiting for
 // responses.
 func sendPipelined(t *testing.T, c *caller, paths ...string) {
@@ -38,13 +45,18 @@
 func TestBrokenResponseDoesNotTakeThoseBehindItAlong(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
-	var broken atomic.Int64
+	var broken, behind atomic.Int64
 	for i := range 2 {
 		s.startTarget(fmt.Sprintf("i-%d", i), func(conn net.Conn, r *receivedRequest) bool {
-			switch {
-			case !strings.Contains(r.line, "large"):
+			if !strings.Contains(r.line, "large") {
+				behind.Add(1)
 				return respondOK(conn, r)
-			case broken.Add(1) == 1:
+			}
+			// Requests that arrive later would not be begun.
+			for end := time.Now().Add(3 * time.Second); behind.Load() < 3 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if broken.Add(1) == 1 {
 				_ = writeLarge(conn, r, largeBody/2)
 				time.Sleep(200 * time.Millisecond)
 				return false
@@ -54,6 +66,7 @@
 	}
 	g := s.startInstance("g")
 	s.waitForTargets(g, 2)
+	s.setLongTimeouts(g)
 	c := s.connect(g)
 	sendPipelined(t, c, "/read/large", "/read/a", "/read/b", "/read/c")
 	for i := range 4 {
@@ -89,6 +102,7 @@
 	})
 	g := s.startInstance("g")
 	s.waitForTargets(g, 1)
+	s.setLongTimeouts(g)
 	c := s.connect(g)
 	sendPipelined(t, c, "/read/first", "/read/large", "/read/a", "/read/b")
 	for i := range 4 {
@@ -156,8 +170,7 @@
 	}
 	g := s.startInstance("g")
 	s.waitForTargets(g, 2)
-	s.store.Put("op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(testDocument, 2), "700ms", "4000ms")))
-	s.waitForDocument(g, 2)
+	s.setLongTimeouts(g)
 	g.pools.budget.limit = largeBody / 2
 	c := s.connect(g)
 	sendPipelined(t, c, "/read/first", "/read/large", "/read/a")
