callers: a drain closes idle connections once their callers have received everything

What callers saw: 2.5 s after a SIGTERM a connection without unanswered requests was closed although its caller was still receiving responses. What the caller sent next was dropped, and had to be sent again elsewhere.

Cause: a connection counted as idle when its last response was written.

Change: CloseIdle leaves connections open whose send queue is not empty, until 1.5 s before the end of the drain. What arrives on them is answered as the last request.

Evidence: TestDrainAnswersCallersThatStillReceive failed before (the fifth request got no response) and passes now, as does the variant "drain" of TestEndOfAConnectionWaitsForASlowCaller. Other tests of CloseIdle keep their checks; they pass the flag that closes in any case.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -403,11 +403,14 @@
 
 // closeIfIdle makes the wait for the next request time out. It holds the lock so
 // that it does not also fail the read of a request that has just begun.
-func (c *conn) closeIfIdle(now time.Time) {
+func (c *conn) closeIfIdle(now time.Time, onlyReceived bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isNew := !c.used && now.Sub(c.openedAt) < FirstRequestWait
-	if c.isIdle() && c.waiting && !isNew {
+	if !c.isIdle() || !c.waiting || isNew {
+		return
+	}
+	if !onlyReceived || linger.Unreceived(c.net) == 0 {
 		c.draining = true
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/callers/delivery_test.go
+++ b/callers/delivery_test.go
@@ -51,8 +51,12 @@
 		}, "e!", ReasonLeaving},
 		"close requested": {func(c *testCaller) { c.send(request("GET", "e", "Connection: close")) }, "e!", ReasonCloseRequested},
 		"refused header":  {func(c *testCaller) { c.send("\x00\r\n\r\n") }, ":400!", ReasonHeaderRefused},
-		"drain":           {func(c *testCaller) { c.set.CloseIdle(time.Now()) }, "", ReasonLeaving},
-		"idle timeout":    {func(c *testCaller) { c.set.FollowIdleTimeout(time.Millisecond) }, "f", ReasonIdle},
+		"drain": {func(c *testCaller) {
+			c.h.leaving.Store(true)
+			c.set.CloseIdle(time.Now(), true)
+		}, "f!", ReasonLeaving},
+		"end of a drain": {func(c *testCaller) { c.set.CloseIdle(time.Now(), false) }, "", ReasonLeaving},
+		"idle timeout":   {func(c *testCaller) { c.set.FollowIdleTimeout(time.Millisecond) }, "f", ReasonIdle},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newSlowHandler()
--- a/callers/order_test.go
+++ b/callers/order_test.go
@@ -111,7 +111,7 @@
 	c.waitStarted(3)
 	time.Sleep(50 * time.Millisecond) // the others are read
 	c.h.leaving.Store(true)
-	c.set.CloseIdle(time.Now().Add(time.Hour))
+	c.set.CloseIdle(time.Now().Add(time.Hour), false)
 	c.send(gets("g"))
 	g.release("c", "b", "a", "d", "e", "f", "g")
 	c.expect("a", "b", "c!")
@@ -212,7 +212,7 @@
 	c.send(gets("a", "b"))
 	c.waitStarted(2)
 	time.Sleep(300 * time.Millisecond)
-	c.set.CloseIdle(time.Now().Add(time.Hour))
+	c.set.CloseIdle(time.Now().Add(time.Hour), false)
 	c.set.FollowIdleTimeout(time.Millisecond)
 	time.Sleep(100 * time.Millisecond)
 	g.release("a", "b")
@@ -230,11 +230,11 @@
 	c := connect(t, newTestHandler(g.script))
 	c.send("GET /a HTTP/1.1\r\nHost: h\r\n")
 	c.waitFor("busy", func() bool { _, busy := c.set.Count(); return busy == 1 })
-	c.set.CloseIdle(time.Now().Add(time.Hour))
+	c.set.CloseIdle(time.Now().Add(time.Hour), false)
 	c.send("X-Id: a\r\n\r\n")
 	c.expect("a")
 	c.waitFor("idle", func() bool { _, busy := c.set.Count(); return busy == 0 })
-	c.set.CloseIdle(time.Now())
+	c.set.CloseIdle(time.Now(), false)
 	c.expectEnd(ReasonLeaving)
 }
 
@@ -245,7 +245,7 @@
 	g.release("a")
 	c := connect(t, newTestHandler(g.script))
 	time.Sleep(20 * time.Millisecond)
-	c.set.CloseIdle(time.Now())
+	c.set.CloseIdle(time.Now(), false)
 	c.send(gets("a"))
 	c.expect("a")
 }
--- a/callers/set.go
+++ b/callers/set.go
@@ -66,9 +66,10 @@
 func (s *Set) WaitingBytes() int64 { return s.waiting.Load() }
 
 // CloseIdle makes idle connections close. New ones keep FirstRequestWait for
-// their first request.
-func (s *Set) CloseIdle(now time.Time) {
-	s.forEach(func(c *conn) { c.closeIfIdle(now) })
+// their first request. With onlyReceived, a connection whose caller still receives a
+// response stays open: what the caller sends meanwhile is answered.
+func (s *Set) CloseIdle(now time.Time, onlyReceived bool) {
+	s.forEach(func(c *conn) { c.closeIfIdle(now, onlyReceived) })
 }
 
 // FollowIdleTimeout applies a changed idle timeout to waits that have begun.
--- a/gateway/delivery_test.go
+++ b/gateway/delivery_test.go
@@ -96,6 +96,40 @@
 	g.Cleanup()
 }
 
+// Guards against a drain that treats a connection as idle whose caller still
+// receives a response, and drops what the caller sends next.
+func TestDrainAnswersCallersThatStillReceive(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.startTarget("i-1", respondSlowBody).forgets.Store(true)
+	g := s.startInstance("g")
+	s.waitForTargets(g, 1)
+	conn := dialSlow(t, g.node.Requests)
+	is.NoErr(sendReads(conn, 0, 4))
+	s.waitWritten(g, 4)
+	drained := make(chan time.Duration, 1)
+	go func() {
+		began := time.Now()
+		g.Drain()
+		drained <- time.Since(began)
+	}()
+	time.Sleep(minDrainTime + 500*time.Millisecond) // the drain closes idle connections
+	is.NoErr(sendReads(conn, 4, 5))
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	br := bufio.NewReader(lingertest.SlowReader{Conn: conn, Rate: 100_000})
+	for n := range 5 {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(len(body), slowBody)
+		is.Equal(resp.Close, n == 4)
+	}
+	_ = conn.Close()
+	is.True(<-drained < g.node.Bounds.Grace)
+	g.Cleanup()
+}
+
 // Guards against a planned stop that waits for callers that read nothing until the
 // process is killed.
 func TestDrainEndsWithinGraceBesideCallersThatReadNothing(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -289,6 +289,10 @@
 	// drainMargin is the time left between the end of a drain and the time at
 	// which the platform kills the process.
 	drainMargin = 500 * time.Millisecond
+	// lastDeliveryTime is the time before the end of a drain from which on idle
+	// connections close although their callers still receive a response, so that
+	// they need not receive a further one.
+	lastDeliveryTime = 1500 * time.Millisecond
 	// drainPollInterval is how often a drain checks for open connections.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -308,7 +312,7 @@
 	pause(g.ctx, min(minDrainTime, time.Until(end)))
 	g.stopAccepting()
 	for time.Now().Before(end) {
-		g.callers.CloseIdle(time.Now())
+		g.callers.CloseIdle(time.Now(), time.Until(end) > lastDeliveryTime)
 		// An open connection may have just begun a request, so the drain waits
 		// for all of them and not only for busy ones.
 		if open, _ := g.callers.Count(); open == 0 {
