gateway: a reset during an upload is not the end of the response

Callers got a part of a response as a complete success: a target responded to the head of a long upload with 200 and no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset to one call on the socket. If that is the write of the upload, the reader gets what has arrived and then a regular end, which marks the end of a body without length. upload dropped the error of the write once a response was read.

Change: if only the end of the connection marks that of the body and the write ended with an error of the system other than EPIPE, the exchange has failed, for bodies that are held and for those whose rest is still to be read. The writer has ended by then, so that no later error is hidden from the reader. A body with a length or in chunks needs no such check. EPIPE after a regular end stays sound: the system reports it if the target had ended the connection before it was reset, and once the reader has got the error.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httputil"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -282,25 +283,38 @@
 		uploadDone <- err
 	}()
 	resp, err := readResponse(conn.br, req.id, req.isHead, !conn.used, held)
+	var sendErr error
+	sentAll := false
 	select {
-	case sendErr := <-uploadDone:
-		if err != nil && isUploadError(sendErr) {
-			err = sendErr
-		}
-		return resp, sendErr == nil, err
+	case sendErr = <-uploadDone:
+		sentAll = sendErr == nil
 	default:
+		if err == nil && resp.rest != nil {
+			// The rest of the response is still to be read.
+			_ = conn.SetWriteDeadline(time.Unix(1, 0))
+		} else {
+			closeQuietly(conn)
+		}
+		sendErr = <-uploadDone
 	}
-	if err == nil && resp.rest != nil {
-		// The rest of the response is still to be read.
-		_ = conn.SetWriteDeadline(time.Unix(1, 0))
-	} else {
-		closeQuietly(conn)
-	}
-	sendErr := <-uploadDone
-	if err != nil && isUploadError(sendErr) {
+	switch {
+	case err != nil && isUploadError(sendErr):
 		err = sendErr
+	case err == nil && resp.unframed && hidesReset(sendErr):
+		resp.release()
+		return nil, false, sendErr
 	}
-	return resp, false, err
+	return resp, sentAll, err
+}
+
+// hidesReset reports whether, after a write that ended with an error, the end of the
+// connection looks regular to a reader although it is not. The system reports a
+// reset or a timeout to one call only; reads after that call return what has
+// arrived, and then the end. EPIPE is no such error: the target had ended the
+// connection regularly before, or the reader got the error.
+func hidesReset(writeErr error) bool {
+	var errno syscall.Errno
+	return errors.As(writeErr, &errno) && errno != unix.EPIPE
 }
 
 // isUploadError reports whether an upload ended because of its caller.
