--- a/gateway/early_response_test.go
+++ b/gateway/early_response_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"pistachioford.example/core/steer"
+	"pistachioford.example/pistachioford/httpread/framingtest"
 	"pistachioford.example/pistachioford/linger"
 	"pistachioford.example/pistachioford/linger/lingertest"
 	"pistachioford.example/pistachioford/upstream"
@@ -112,22 +113,15 @@
 	case reset:
 		_ = conn.SetLinger(0)
 	case resetAfterDelivery:
-		awaitDelivery(conn)
+		framingtest.AwaitDelivery(conn)
 		_ = conn.SetLinger(0)
 	case regularThenReset:
 		_ = conn.CloseWrite()
-		awaitDelivery(conn)
+		framingtest.AwaitDelivery(conn)
 		_ = conn.SetLinger(0)
 	}
 }
 
-// awaitDelivery waits until the other side has acknowledged what was sent.
-func awaitDelivery(conn net.Conn) {
-	for end := time.Now().Add(5 * time.Second); linger.Unreceived(conn) > 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // immediateTurn is the turn of a response before which no other one is due.
 type immediateTurn struct{}
 
@@ -311,7 +305,7 @@
 	t.Cleanup(func() { _ = accepted.Close() })
 	_, err = io.WriteString(accepted, partOfResponse)
 	is.NoErr(err)
-	awaitDelivery(accepted)
+	framingtest.AwaitDelivery(accepted)
 	return conn, accepted.(*net.TCPConn)
 }
 
@@ -345,7 +339,7 @@
 		}, syscall.ETIMEDOUT, true},
 		"regular, then reset": {func(_ *targetConn, target *net.TCPConn) {
 			_ = target.CloseWrite()
-			awaitDelivery(target)
+			framingtest.AwaitDelivery(target)
 			_ = target.SetLinger(0)
 			_ = target.Close()
 		}, syscall.EPIPE, false},
