--- a/review/third/main.go
+++ b/review/third/main.go
@@ -14,6 +14,7 @@
 
 var cases = map[string]func(binary, record string, trouble bool) (broken bool, err error){
 	"missed-removal": missedRemoval,
+	"slow-readers":   slowReaders,
 }
 
 // timeLimit ends a case that hangs.
--- a/review/third/target.go
+++ b/review/third/target.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -78,6 +80,11 @@
 	rw.Header().Set("X-Server-Seal", "mac-"+id)
 	rw.Header().Set("X-Server-Load", "1,0,3")
 	rw.Header().Set("Keep-Alive", "timeout=10")
+	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil {
+		rw.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = rw.Write(bytes.Repeat([]byte("x"), size))
+		return
+	}
 	_, _ = io.WriteString(rw, "body of "+id)
 }
 
--- a/review/third/world.go
+++ b/review/third/world.go
@@ -253,4 +253,23 @@
 	return t.Sub(d.disturbedUntil) > stableBound
 }
 
+// recordUse records the descriptors that the daemon has open and its largest
+// resident memory so far.
+func (d *daemon) recordUse() {
+	process := fmt.Sprintf("/proc/%d", d.cmd.Process.Pid)
+	descriptors, err := os.ReadDir(process + "/fd")
+	if err != nil {
+		d.world.record.line("daemon %s: %v", d.name, err)
+		return
+	}
+	status, err := os.ReadFile(process + "/status")
+	if err != nil {
+		d.world.record.line("daemon %s: %v", d.name, err)
+		return
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	peak, _, _ = strings.Cut(peak, "\n")
+	d.world.record.line("daemon %s has %d descriptors open, peak memory %s", d.name, len(descriptors), strings.TrimSpace(peak))
+}
+
 func (d *daemon) requestAddress() string { return fmt.Sprintf("%s:%d", d.address, requestPort) }
