review: case 13, followers of silent relays use an older version

When the relays of all zones lose power, the machines that follow them wait for their held calls and apply a new version late.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(binary, record string, trouble bool) (broken bool, err error){
 	"missed-removal": missedRemoval,
 	"slow-readers":   slowReaders,
+	"relays-lost":    relaysLost,
 }
 
 // timeLimit ends a case that hangs.
